[State] Store the lists that a host shows; check histories under faults

Change: a host with a disk stores the lists before it shows them. A follower that refuses what it acknowledged is not resent to at once (a planted fault made a storm of it).

--- a/include/persimmontally/State/LogStore.h
+++ b/include/persimmontally/State/LogStore.h
@@ -2,6 +2,7 @@
 #define PERSIMMONTALLY_STATE_LOGSTORE_H
 
 #include "persimmontally/State/RaftNode.h"
+#include "persimmontally/Wire/StateMessage.h"
 
 #include "absl/status/statusor.h"
 
@@ -25,6 +26,10 @@
   virtual absl::Status Write(const RaftReady& aReady) = 0;
   /// Stores a snapshot and drops the entries that it covers.
   virtual absl::Status Compact(const Snapshot& aSnapshot) = 0;
+  /// Stores the lists that this host shows from now on.
+  virtual absl::Status StorePlans(const PlanState& aPlans) = 0;
+  /// The lists stored last; of index 0 when there are none.
+  virtual PlanState RecoverPlans() = 0;
   /// What the folder held when it was opened.
   virtual RaftRecovery Recover() = 0;
 };
--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -83,7 +83,7 @@
 
   /// Writes, syncs, sends and applies what is due. Called once a turn of the
   /// loop, so that one sync serves all that came since the last.
-  void Flush(Instant aNow);
+  void Flush();
 
   std::vector<StateSend> TakeSends();
   std::vector<StateEvent> TakeEvents();
@@ -118,6 +118,8 @@
     HostId m_from;
   };
 
+  absl::Status Persist(const RaftReady& aReady);
+  void SendRaft(std::vector<RaftMessage> aMessages);
   void StartMember(RaftRecovery aRecovery);
   void TryBootstrap(Instant aNow);
   void RunRepair(Instant aNow);
@@ -128,6 +130,7 @@
   void ApplyCommitted(const std::vector<LogEntry>& aEntries);
   void AdoptSnapshot(const Snapshot& aSnapshot);
   void PublishLists();
+  void ShowPlans(PlanState aPlans);
   void PullLists(Instant aNow);
   void CompactIfLong();
   bool AcceptsCommands() const;
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -251,7 +251,7 @@
   }
   m_loop.Post([this] {
     m_flushPosted = false;
-    m_state->Flush(m_loop.Now());
+    m_state->Flush();
     if (!m_state->Failure().ok()) {
       Fail(m_state->Failure());
       return;
--- a/lib/State/FileLogStore.cpp
+++ b/lib/State/FileLogStore.cpp
@@ -296,6 +296,7 @@
       return IoError("lock", m_folder / "lock");
     }
     for (auto step : { &FileLogStore::OpenIdentity,
+                       &FileLogStore::OpenPlans,
                        &FileLogStore::OpenSnapshot,
                        &FileLogStore::OpenLog }) {
       absl::Status status = (this->*step)();
@@ -365,6 +366,19 @@
     return StoreSnapshot(aSnapshot);
   }
 
+  absl::Status StorePlans(const PlanState& aPlans) override
+  {
+    std::string record;
+    AppendRecord(record, RecordKind::Entry, Encode(aPlans));
+    absl::Status stored = ReplaceFile(m_folder / "lists", record);
+    if (stored.ok()) {
+      m_plans = aPlans;
+    }
+    return stored;
+  }
+
+  PlanState RecoverPlans() override { return m_plans; }
+
   RaftRecovery Recover() override
   {
     return { m_hardState, m_snapshot, m_entries };
@@ -400,29 +414,37 @@
     return absl::OkStatus();
   }
 
-  absl::Status OpenSnapshot()
+  /// Reads a file of one record; an absent file leaves the value as it is.
+  template<class T>
+  static absl::Status ReadOne(const fs::path& aPath, T& aValue)
   {
-    fs::path path = m_folder / "snapshot";
-    if (!fs::exists(path)) {
+    if (!fs::exists(aPath)) {
       return absl::OkStatus();
     }
-    auto data = ReadFile(path);
+    auto data = ReadFile(aPath);
     if (!data.ok()) {
       return data.status();
     }
     auto body = ReadRecord(*data, 0);
     if (!body) {
-      return absl::DataLossError(path.string() + ": damaged snapshot");
+      return absl::DataLossError(aPath.string() + ": damaged file");
     }
-    auto snapshot = Decode<Snapshot>(body->substr(1));
-    if (!snapshot.ok()) {
-      return absl::DataLossError(path.string() + ": " +
-                                 std::string(snapshot.status().message()));
+    auto value = Decode<T>(body->substr(1));
+    if (!value.ok()) {
+      return absl::DataLossError(aPath.string() + ": " +
+                                 std::string(value.status().message()));
     }
-    m_snapshot = *std::move(snapshot);
+    aValue = *std::move(value);
     return absl::OkStatus();
   }
 
+  absl::Status OpenPlans() { return ReadOne(m_folder / "lists", m_plans); }
+
+  absl::Status OpenSnapshot()
+  {
+    return ReadOne(m_folder / "snapshot", m_snapshot);
+  }
+
   absl::Status OpenLog()
   {
     fs::path path = m_folder / "log";
@@ -495,6 +517,7 @@
   std::string m_group;
   HardState m_hardState;
   Snapshot m_snapshot;
+  PlanState m_plans;
   std::vector<LogEntry> m_entries;
 };
 
--- a/lib/State/RaftNode.cpp
+++ b/lib/State/RaftNode.cpp
@@ -464,8 +464,14 @@
   progress.m_wasContacted = true;
   if (!aBody.m_accepted) {
     uint64_t next = std::min(aBody.m_matchIndex + 1, progress.m_next);
-    progress.m_next = std::max(next, progress.m_match + 1);
-    SendAppend(aNow, aFrom.m_from);
+    next = std::max(next, progress.m_match + 1);
+    // A follower that refuses what it acknowledged cannot be helped by a resend
+    // at once, which would come back for ever; it waits for the heartbeat.
+    bool learned = aBody.m_matchIndex >= progress.m_match;
+    progress.m_next = next;
+    if (learned) {
+      SendAppend(aNow, aFrom.m_from);
+    }
     return;
   }
   progress.m_match = std::max(progress.m_match, aBody.m_matchIndex);
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -27,8 +27,10 @@
   }
   m_disk = m_store->Disk();
   m_group = m_store->Group();
+  m_plans = m_store->RecoverPlans();
   if (!m_group.empty()) {
     StartMember(m_store->Recover());
+    Flush();
   }
 }
 
@@ -122,7 +124,7 @@
   }
   ResendProposals(aNow);
   PullLists(aNow);
-  Flush(aNow);
+  Flush();
 }
 
 void StateService::RunRepair(Instant aNow)
@@ -156,7 +158,29 @@
   }
 }
 
-void StateService::Flush(Instant aNow)
+absl::Status StateService::Persist(const RaftReady& aReady)
+{
+  absl::Status written = m_store->Write(aReady);
+  if (!written.ok()) {
+    Report("disk_failed", std::string(written.message()));
+    return written;
+  }
+  ++m_syncCount;
+  m_raft->Persisted();
+  return written;
+}
+
+void StateService::SendRaft(std::vector<RaftMessage> aMessages)
+{
+  for (RaftMessage& message : aMessages) {
+    auto to = EndpointOfDisk(message.m_to);
+    if (to) {
+      m_sends.push_back({ *to, std::move(message) });
+    }
+  }
+}
+
+void StateService::Flush()
 {
   if (!m_raft || !m_failure.ok()) {
     return;
@@ -170,27 +194,18 @@
       return;
     }
     if (ready.NeedsSync()) {
-      m_failure = m_store->Write(ready);
+      m_failure = Persist(ready);
       if (!m_failure.ok()) {
-        Report("disk_failed", std::string(m_failure.message()));
         return;
       }
-      ++m_syncCount;
-      m_raft->Persisted();
-    }
-    for (RaftMessage& message : ready.m_messages) {
-      auto to = EndpointOfDisk(message.m_to);
-      if (to) {
-        m_sends.push_back({ *to, std::move(message) });
-      }
     }
+    SendRaft(std::move(ready.m_messages));
     if (ready.m_snapshot) {
       AdoptSnapshot(*ready.m_snapshot);
     }
     ApplyCommitted(ready.m_committed);
   }
   CompactIfLong();
-  (void)aNow;
 }
 
 void StateService::AdoptSnapshot(const Snapshot& aSnapshot)
@@ -248,10 +263,7 @@
   // What was appended since the last flush must be in the store first.
   RaftReady ready = m_raft->TakeReady();
   if (ready.NeedsSync()) {
-    m_failure = m_store->Write(ready);
-    if (m_failure.ok()) {
-      m_raft->Persisted();
-    }
+    m_failure = Persist(ready);
   }
   if (m_failure.ok()) {
     m_failure = m_store->Compact(snapshot);
@@ -260,12 +272,7 @@
     return;
   }
   m_raft->Compact(snapshot);
-  for (RaftMessage& message : ready.m_messages) {
-    auto to = EndpointOfDisk(message.m_to);
-    if (to) {
-      m_sends.push_back({ *to, std::move(message) });
-    }
-  }
+  SendRaft(std::move(ready.m_messages));
   ApplyCommitted(ready.m_committed);
 }
 
@@ -276,10 +283,27 @@
   if (m_machine.PlanIndex() <= m_plans.m_index) {
     return;
   }
-  m_plans.m_group = m_group;
-  m_plans.m_index = m_machine.PlanIndex();
-  m_plans.m_plans = m_machine.List(ListKind::Plans);
-  m_plans.m_accounts = m_machine.List(ListKind::Accounts);
+  PlanState plans;
+  plans.m_group = m_group;
+  plans.m_index = m_machine.PlanIndex();
+  plans.m_plans = m_machine.List(ListKind::Plans);
+  plans.m_accounts = m_machine.List(ListKind::Accounts);
+  ShowPlans(std::move(plans));
+}
+
+/// Puts lists in force. A host with a disk stores them first, so that it never
+/// shows older ones after a restart.
+void StateService::ShowPlans(PlanState aPlans)
+{
+  if (m_store) {
+    absl::Status stored = m_store->StorePlans(aPlans);
+    if (!stored.ok()) {
+      m_failure = stored;
+      return;
+    }
+    ++m_syncCount;
+  }
+  m_plans = std::move(aPlans);
   Report("lists_in_force",
          "plans " + std::to_string(m_plans.m_plans.m_version) + " accounts " +
            std::to_string(m_plans.m_accounts.m_version));
@@ -294,8 +318,10 @@
       newest = &peer;
     }
   }
-  m_isCurrent = newest == nullptr || newest->m_planIndex <= m_plans.m_index;
-  if (m_isCurrent || aNow < m_nextPull) {
+  // Alone, a host is current only with lists of its own disk.
+  m_isCurrent = newest == nullptr ? m_plans.m_index > 0
+                                  : newest->m_planIndex <= m_plans.m_index;
+  if (m_isCurrent || newest == nullptr || aNow < m_nextPull) {
     return;
   }
   m_nextPull = aNow + kPullPeriod;
@@ -318,10 +344,7 @@
   if (!sameGroup || aMessage.m_index <= m_plans.m_index) {
     return;
   }
-  m_plans = aMessage;
-  Report("lists_in_force",
-         "plans " + std::to_string(m_plans.m_plans.m_version) + " accounts " +
-           std::to_string(m_plans.m_accounts.m_version));
+  ShowPlans(aMessage);
 }
 
 // Log messages.
--- /dev/null
+++ b/unittests/State/PlantedFaultTest.cpp
@@ -0,0 +1,110 @@
+/// The checker over histories finds faults that are planted on purpose.
+
+#include "State/StateSite.h"
+#include "persimmontally/State/RaftNode.h"
+
+#include <doctest/doctest.h>
+
+using namespace persimmontally;
+
+TEST_CASE("the history checker finds each planted fault")
+{
+  struct Row
+  {
+    std::string m_name;
+    PlantedFault m_fault;
+  };
+  const Row rows[] = {
+    { "disks lose writes", PlantedFault::DisksLoseWrites },
+    { "disks forget lists", PlantedFault::DisksForgetLists },
+    { "claims granted twice", PlantedFault::ClaimsGrantedTwice },
+    { "false acknowledgements", PlantedFault::FalseAcknowledgements },
+  };
+  constexpr uint64_t kMostSeeds = 60;
+  for (const Row& row : rows) {
+    CAPTURE(row.m_name);
+    bool found = false;
+    for (uint64_t seed = 1; seed <= kMostSeeds && !found; ++seed) {
+      SiteOptions options;
+      options.m_seed = seed;
+      options.m_fault = row.m_fault;
+      options.m_length = seconds(10);
+      options.m_faultPeriod = seconds(1);
+      StateSite site(options);
+      site.Run();
+      found = !site.CheckHistory().empty();
+    }
+    CHECK(found);
+  }
+}
+
+/// A change rests on two of three disks; one of them is emptied while the
+/// other is cut off, and the third, which never had it, comes back.
+static bool LosesChangeWithEmptiedDisk(PlantedFault aFault)
+{
+  SiteOptions options;
+  options.m_hosts = 4;
+  options.m_disks = 3;
+  options.m_hasFaults = false;
+  options.m_lossRate = 0;
+  options.m_replaceAfter = std::chrono::hours(1);
+  options.m_fault = aFault;
+  StateSite site(options);
+  site.RunFor(seconds(6));
+  size_t leader = *site.Leader();
+  size_t emptied = (leader + 1) % 3;
+  size_t behind = (leader + 2) % 3;
+  site.SetCut(behind, true);
+  PutList change;
+  change.m_changeId = "kept";
+  change.m_json = PlansJson("kept");
+  REQUIRE(site.ProposeAndWait(leader, change).m_status ==
+          CommandStatus::Accepted);
+  site.Crash(emptied);
+  site.EmptyDisk(emptied);
+  site.SetCut(leader, true);
+  site.SetCut(behind, false);
+  site.Restart(emptied);
+  site.RunFor(seconds(10));
+  change.m_changeId = "other";
+  change.m_json = PlansJson("other");
+  return site.ProposeAndWait(behind, change).m_status ==
+         CommandStatus::Accepted;
+}
+
+TEST_CASE("an emptied disk under its old identity would lose a change")
+{
+  CHECK(LosesChangeWithEmptiedDisk(PlantedFault::EmptiedDisksKeepIdentity));
+  CHECK_FALSE(LosesChangeWithEmptiedDisk(PlantedFault::None));
+}
+
+TEST_CASE("a member that restarts remembers its vote")
+{
+  RaftOptions options;
+  options.m_group = "group";
+  options.m_self = DiskId("b");
+  RaftRecovery disk;
+  disk.m_snapshot.m_index = 1;
+  for (const char* name : { "a", "b", "c" }) {
+    disk.m_snapshot.m_config.m_members.push_back(
+      { DiskId(name), HostId(name), {}, true });
+  }
+  auto ask = [&](RaftNode& aNode, const char* aCandidate) {
+    aNode.Receive(Instant(seconds(5)),
+                  { "group",
+                    DiskId(aCandidate),
+                    DiskId("b"),
+                    7,
+                    VoteRequest{ false, 1, 0 } });
+    RaftReady ready = aNode.TakeReady();
+    if (ready.m_hardState) {
+      disk.m_hardState = *ready.m_hardState;
+    }
+    return std::get<VoteReply>(ready.m_messages.at(0).m_body).m_granted;
+  };
+  RaftNode before(options, disk, 1);
+  CHECK(ask(before, "a"));
+  RaftNode after(options, disk, 2);
+  CHECK_FALSE(ask(after, "c"));
+  CHECK(ask(after, "a"));
+}
