--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -19,6 +19,8 @@
 void EventLoop::Run()
 {
   auto guard = boost::asio::make_work_guard(m_context->m_io);
+  // A loop that was stopped can run again.
+  m_context->m_io.restart();
   m_context->m_io.run();
 }
 
