--- a/include/persimmontally/Admission/FairQueue.h
+++ b/include/persimmontally/Admission/FairQueue.h
@@ -28,12 +28,24 @@
   /// Oldest ticket of the account that is next; the queue must not be empty.
   const Ticket& Front() const;
   Ticket PopFront();
+  /// Service by which an account may run ahead of one whose head cannot be
+  /// placed, in tokens over weight. Without this bound accounts with small
+  /// requests would always find room first.
+  static constexpr double kMostLead = 4096;
+
   /// Heads of the first accounts in service order, to look past one that
   /// cannot be placed.
   std::vector<const Ticket*> Heads(size_t aLimit) const;
   /// Takes one ticket out of turn, for a head that could be placed.
   std::optional<Ticket> Take(RequestId aId);
 
+  /// Account with the most waiting tickets; the queue must not be empty.
+  const AccountId& LongestFlow() const;
+  size_t SizeOf(const AccountId& aAccount) const;
+  size_t WaitingAccounts() const { return m_ready.size(); }
+  /// Takes the newest ticket of an account that waits.
+  Ticket TakeNewest(const AccountId& aAccount);
+
   /// Charges tokens to an account; a negative amount gives back.
   void Charge(const AccountId& aAccount, double aTokens);
   /// Removes the tickets whose time to be placed has passed.
--- a/include/persimmontally/Admission/LengthModel.h
+++ b/include/persimmontally/Admission/LengthModel.h
@@ -27,6 +27,8 @@
 
 private:
   std::array<double, kBinCount> m_bins{};
+  /// Weight of all bins above each one, so that a look-up is cheap.
+  std::array<double, kBinCount> m_above{};
   double m_weight = 0;
   double m_sum = 0;
 };
--- a/include/persimmontally/Admission/MemoryForecast.h
+++ b/include/persimmontally/Admission/MemoryForecast.h
@@ -47,9 +47,9 @@
 /// Uses the distribution of the length, given the tokens so far.
 struct ConditionalForecast
 {
-  /// Standard deviations kept free: 2.33 bounds the chance of overflow at a
-  /// step to one in a hundred, if the sum is near normal.
-  double m_deviations = 2.33;
+  /// Standard deviations kept free. More bounds the chance of an overflow
+  /// closer and leaves memory unused; docs/RESULTS.md compares values.
+  double m_deviations = 0.5;
 };
 /// Knows the true length; a baseline for experiments only.
 struct OracleForecast
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -47,6 +47,8 @@
   size_t m_candidates = 16;
   /// Heads of queues that are tried before a tick gives up.
   size_t m_headsTried = 8;
+  /// Waiting tickets of each rank. Beyond it the account that has the most
+  /// waiting loses its newest one.
   size_t m_maxQueued = 2000;
   /// Parts of the fleet that other dispatchers use: slots are divided by it.
   /// 1 when this dispatcher alone grants slots of the upstreams.
@@ -131,6 +133,8 @@
   {
     std::set<RequestId> m_requests;
     Occupancy m_occupancy;
+    /// The part of it that is urgent.
+    Occupancy m_urgentOccupancy;
     Instant m_forecastAt;
     uint32_t m_routine = 0;
     bool m_reservedAlone = false;
@@ -149,6 +153,7 @@
     std::array<uint32_t, kRanks.size()> m_running{};
     std::array<DrainRate, kRanks.size()> m_drain{};
     std::array<uint32_t, kRanks.size()> m_grantedInTick{};
+    std::array<bool, kRanks.size()> m_wasBacklogged{};
     Instant m_tickedAt;
     /// Highest number of urgent requests that ran of late; it fades.
     double m_urgentPeak = 0;
@@ -156,6 +161,8 @@
   };
   using LaneKey = std::string;
 
+  bool MakeQueueRoom(FairQueue& aQueue, const Ticket& aTicket);
+  void ForgetQueued(const Ticket& aTicket);
   static LaneKey KeyOf(const Ticket& aTicket);
   FairQueue& QueueOf(Lane& aLane, Rank aRank);
   void ServeLane(Instant aNow,
@@ -183,7 +190,21 @@
                const UpstreamEntry& aEntry,
                const Lane& aLane,
                const Ticket& aTicket,
+               const Occupancy& aNeed,
                size_t aUpstreamCount);
+  bool HasSlot(Instant aNow,
+               const UpstreamEntry& aEntry,
+               const Ticket& aTicket,
+               double aUrgentReserve);
+  bool HasMemory(Instant aNow,
+                 const UpstreamEntry& aEntry,
+                 const Ticket& aTicket,
+                 const Occupancy& aNeed,
+                 double aUrgentReserve);
+  double UrgentReserve(const UpstreamEntry& aEntry,
+                       const Lane& aLane,
+                       size_t aUpstreamCount) const;
+  Occupancy NeedOf(const Ticket& aTicket) const;
   bool MayRunAlone(const UpstreamEntry& aEntry, const Ticket& aTicket);
   double InFlight(const UpstreamEntry& aEntry) const;
   double UsableSlots(Instant aNow, const UpstreamEntry& aEntry) const;
@@ -208,7 +229,10 @@
   HealthTable m_health;
   std::set<uint64_t> m_suspects;
   uint64_t m_roundRobin = 0;
-  size_t m_queued = 0;
+  /// Waiting tickets by rank.
+  std::array<size_t, kRanks.size()> m_queued{};
+  /// Tickets that gave way to others; refused at the next tick.
+  std::vector<Ticket> m_displaced;
 };
 
 } // namespace persimmontally
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -50,7 +50,8 @@
 {
   std::vector<const Ticket*> heads;
   for (const auto& [served, account] : m_ready) {
-    if (heads.size() >= aLimit) {
+    bool tooFarAhead = served > m_ready.begin()->first + kMostLead;
+    if (heads.size() >= aLimit || tooFarAhead) {
       break;
     }
     heads.push_back(&m_flows.at(account).m_tickets.front());
@@ -84,6 +85,27 @@
   return Take(aId).has_value();
 }
 
+const AccountId& FairQueue::LongestFlow() const
+{
+  assert(!Empty() && "the queue holds a ticket");
+  auto longest = std::max_element(
+    m_ready.begin(), m_ready.end(), [&](auto& aLeft, auto& aRight) {
+      return SizeOf(aLeft.second) < SizeOf(aRight.second);
+    });
+  return longest->second;
+}
+
+size_t FairQueue::SizeOf(const AccountId& aAccount) const
+{
+  auto at = m_flows.find(aAccount);
+  return at == m_flows.end() ? 0 : at->second.m_tickets.size();
+}
+
+Ticket FairQueue::TakeNewest(const AccountId& aAccount)
+{
+  return *Take(m_flows.at(aAccount).m_tickets.back().m_id);
+}
+
 void FairQueue::Charge(const AccountId& aAccount, double aTokens)
 {
   Flow& flow = m_flows[aAccount];
--- a/lib/Admission/LengthModel.cpp
+++ b/lib/Admission/LengthModel.cpp
@@ -29,6 +29,11 @@
   m_weight = m_weight * kFading + 1;
   m_sum = m_sum * kFading + aTokens;
   m_bins[BinOf(aTokens)] += 1;
+  double above = 0;
+  for (size_t bin = kBinCount; bin-- > 0;) {
+    m_above[bin] = above;
+    above += m_bins[bin];
+  }
 }
 
 double LengthHistogram::FractionAbove(double aTokens) const
@@ -37,14 +42,10 @@
     return 0;
   }
   size_t bin = BinOf(aTokens);
-  double above = 0;
-  for (size_t i = bin + 1; i < kBinCount; ++i) {
-    above += m_bins[i];
-  }
   double low = LowEdge(bin);
   double high = LowEdge(bin + 1);
   double part = std::clamp((high - aTokens) / (high - low), 0.0, 1.0);
-  return (above + part * m_bins[bin]) / m_weight;
+  return (m_above[bin] + part * m_bins[bin]) / m_weight;
 }
 
 double LengthHistogram::Mean() const
@@ -95,15 +96,13 @@
     return 0;
   }
   const LengthHistogram* lengths = Find(aModel, aAccount);
-  // A small part of the prior keeps outputs longer than any seen possible.
-  constexpr double kPriorPart = 0.02;
+  // The prior counts as one observation, so that outputs longer than any seen
+  // stay possible and matter less the more is known.
+  double priorPart = lengths == nullptr ? 1 : 1 / (1 + lengths->Weight());
   auto above = [&](double aTokens) {
     double prior = PriorAbove(aTokens, aMaxTokens);
-    if (lengths == nullptr) {
-      return prior;
-    }
-    return (1 - kPriorPart) * lengths->FractionAbove(aTokens) +
-           kPriorPart * prior;
+    double seen = lengths == nullptr ? 0 : lengths->FractionAbove(aTokens);
+    return (1 - priorPart) * seen + priorPart * prior;
   };
   double now = above(aSoFar);
   return now <= 0 ? 0 : std::min(1.0, above(end) / now);
@@ -114,7 +113,10 @@
                                    uint32_t aMaxTokens) const
 {
   const LengthHistogram* lengths = Find(aModel, aAccount);
-  double expected = lengths != nullptr ? lengths->Mean() : aMaxTokens / 4.0;
+  // The median of the prior: its mean would charge the first requests of an
+  // account many times what they use.
+  double unseen = std::sqrt(static_cast<double>(aMaxTokens));
+  double expected = lengths != nullptr ? lengths->Mean() : unseen;
   return std::min(expected, static_cast<double>(aMaxTokens));
 }
 
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -48,21 +48,48 @@
 std::optional<Refusal> Dispatcher::Enqueue(Instant aNow, Ticket aTicket)
 {
   Lane& lane = m_lanes[KeyOf(aTicket)];
+  FairQueue& queue = QueueOf(lane, aTicket.m_rank);
   Duration wait = ExpectedWait(aTicket);
   bool tooLate = aNow + wait > aTicket.m_placeBy;
-  if (m_queued >= m_options.m_maxQueued || tooLate) {
+  if (tooLate || !MakeQueueRoom(queue, aTicket)) {
     return RefusalBuilder(ErrorKind::Overloaded,
                           "the request cannot be started in time")
       .WithRetryAfter(std::max<Duration>(wait, seconds(1)))
       .Build();
   }
-  ++m_queued;
+  ++m_queued[static_cast<size_t>(aTicket.m_rank)];
   m_laneOf[aTicket.m_id] = KeyOf(aTicket);
-  FairQueue& queue = QueueOf(lane, aTicket.m_rank);
   queue.Push(std::move(aTicket));
   return std::nullopt;
 }
 
+/// When the queue is full, the account with the most waiting gives way, so that
+/// a flood of one account does not keep the others from queueing.
+bool Dispatcher::MakeQueueRoom(FairQueue& aQueue, const Ticket& aTicket)
+{
+  size_t queued = m_queued[static_cast<size_t>(aTicket.m_rank)];
+  if (queued < m_options.m_maxQueued) {
+    return true;
+  }
+  if (aQueue.Empty()) {
+    return false;
+  }
+  AccountId longest = aQueue.LongestFlow();
+  if (aQueue.SizeOf(longest) <= aQueue.SizeOf(aTicket.m_account) + 1) {
+    return false;
+  }
+  Ticket displaced = aQueue.TakeNewest(longest);
+  ForgetQueued(displaced);
+  m_displaced.push_back(std::move(displaced));
+  return true;
+}
+
+void Dispatcher::ForgetQueued(const Ticket& aTicket)
+{
+  --m_queued[static_cast<size_t>(aTicket.m_rank)];
+  m_laneOf.erase(aTicket.m_id);
+}
+
 Duration Dispatcher::ExpectedWait(const Ticket& aTicket) const
 {
   auto at = m_lanes.find(KeyOf(aTicket));
@@ -70,7 +97,12 @@
     return Duration(0);
   }
   auto rank = static_cast<size_t>(aTicket.m_rank);
-  size_t ahead = at->second.m_queues[rank].Size();
+  // In fair order an account waits for its own tickets, once for each account
+  // that waits beside it.
+  const FairQueue& queue = at->second.m_queues[rank];
+  size_t ahead = std::min(queue.Size(),
+                          queue.SizeOf(aTicket.m_account) *
+                            std::max<size_t>(1, queue.WaitingAccounts()));
   const DrainRate& drain = at->second.m_drain[rank];
   if (ahead == 0 || drain.m_seconds < kLeastDrainSeconds) {
     return Duration(0);
@@ -89,9 +121,9 @@
     return false;
   }
   for (FairQueue& queue : m_lanes[lane->second].m_queues) {
-    if (queue.Remove(aId)) {
-      --m_queued;
-      m_laneOf.erase(lane);
+    auto ticket = queue.Take(aId);
+    if (ticket) {
+      ForgetQueued(*ticket);
       return true;
     }
   }
@@ -224,9 +256,15 @@
   }
   slot.m_forecastAt = aNow;
   slot.m_occupancy = Occupancy();
+  slot.m_urgentOccupancy = Occupancy();
   for (const RequestId& id : slot.m_requests) {
-    slot.m_occupancy += ForecastGeneration(
-      m_options.m_forecast, m_lengths, SizeOf(m_running.at(id)));
+    const Running& running = m_running.at(id);
+    Occupancy part =
+      ForecastGeneration(m_options.m_forecast, m_lengths, SizeOf(running));
+    slot.m_occupancy += part;
+    if (running.m_ticket.m_rank == Rank::Urgent) {
+      slot.m_urgentOccupancy += part;
+    }
   }
   return slot.m_occupancy;
 }
@@ -249,43 +287,107 @@
   return idle && !slot.m_reservedAlone;
 }
 
+/// Part of an engine that routine work leaves free for urgent work: what
+/// urgent work took at its peak of late, with head room, but never more than
+/// the routine floor allows.
+double Dispatcher::UrgentReserve(const UpstreamEntry& aEntry,
+                                 const Lane& aLane,
+                                 size_t aUpstreamCount) const
+{
+  const RankOrder& ranks = m_options.m_ranks;
+  double slots = aEntry.m_row.m_slots;
+  double share = aLane.m_urgentPeak * kUrgentPeakMargin /
+                 static_cast<double>(std::max<size_t>(aUpstreamCount, 1));
+  double part = std::max(ranks.m_leastUrgentReserve, share / slots);
+  return std::min(part, 1 - ranks.m_routineFloor);
+}
+
+bool Dispatcher::HasSlot(Instant aNow,
+                         const UpstreamEntry& aEntry,
+                         const Ticket& aTicket,
+                         double aUrgentReserve)
+{
+  double slots = UsableSlots(aNow, aEntry);
+  double inFlight = InFlight(aEntry);
+  if (slots <= 0 || inFlight + 1 > std::max(slots, 1.0)) {
+    return false;
+  }
+  const RankOrder& ranks = m_options.m_ranks;
+  if (aTicket.m_rank == Rank::Urgent || ranks.m_isFirstComeFirstServed) {
+    return true;
+  }
+  double routine = m_slots[aEntry.m_row.m_id].m_routine;
+  double reserved =
+    std::max(0.0, aUrgentReserve * slots - (inFlight - routine));
+  bool isBelowFloor = routine + 1 <= ranks.m_routineFloor * slots;
+  return inFlight + 1 + reserved <= slots || isBelowFloor;
+}
+
+/// Routine work must leave the reserve of memory free. Urgent work may use the
+/// reserve, and beyond it whatever routine work holds above its floor: the
+/// engine then preempts routine work by its priority.
+bool Dispatcher::HasMemory(Instant aNow,
+                           const UpstreamEntry& aEntry,
+                           const Ticket& aTicket,
+                           const Occupancy& aNeed,
+                           double aUrgentReserve)
+{
+  const UpstreamRow& row = aEntry.m_row;
+  Occupancy sum = RefreshOccupancy(aNow, row.m_id);
+  Slot& slot = m_slots[row.m_id];
+  double limit = MemoryTokens(row) * m_options.m_memoryLimit;
+  double others = 0;
+  if (m_options.m_slotShare < 1) {
+    double reported =
+      static_cast<double>(row.m_load.m_kvBlocksUsed) * row.m_blockTokens;
+    others = std::max(0.0, reported - slot.m_occupancy.m_mean[0]);
+  }
+  sum += aNeed;
+  double peak = ForecastPeak(m_options.m_forecast, sum) + others;
+  const RankOrder& ranks = m_options.m_ranks;
+  if (ranks.m_isFirstComeFirstServed) {
+    return peak <= limit;
+  }
+  double urgentPeak =
+    ForecastPeak(m_options.m_forecast, slot.m_urgentOccupancy);
+  if (aTicket.m_rank == Rank::Routine) {
+    double reserved = std::max(0.0, aUrgentReserve * limit - urgentPeak);
+    return peak + reserved <= limit;
+  }
+  Occupancy urgent = slot.m_urgentOccupancy;
+  urgent += aNeed;
+  return peak <= limit || ForecastPeak(m_options.m_forecast, urgent) <=
+                            (1 - ranks.m_routineFloor) * limit;
+}
+
 bool Dispatcher::HasRoom(Instant aNow,
                          const UpstreamEntry& aEntry,
                          const Lane& aLane,
                          const Ticket& aTicket,
+                         const Occupancy& aNeed,
                          size_t aUpstreamCount)
 {
-  const UpstreamRow& row = aEntry.m_row;
   if (!MayRunAlone(aEntry, aTicket)) {
     return false;
   }
   if (std::holds_alternative<NoForecast>(m_options.m_forecast)) {
     return true;
   }
-  double slots = UsableSlots(aNow, aEntry);
-  double inFlight = InFlight(aEntry);
-  if (inFlight + 1 > std::max(slots, slots > 0 ? 1.0 : 0.0)) {
+  double reserve = UrgentReserve(aEntry, aLane, aUpstreamCount);
+  if (!HasSlot(aNow, aEntry, aTicket, reserve)) {
     return false;
   }
-  const RankOrder& ranks = m_options.m_ranks;
-  if (aTicket.m_rank == Rank::Routine && !ranks.m_isFirstComeFirstServed) {
-    double peak = aLane.m_urgentPeak * kUrgentPeakMargin /
-                  static_cast<double>(std::max<size_t>(aUpstreamCount, 1));
-    double reserve = std::max(ranks.m_leastUrgentReserve * slots, peak);
-    reserve = std::min(reserve, (1 - ranks.m_routineFloor) * slots);
-    double urgentHere = inFlight - m_slots[row.m_id].m_routine;
-    double free = slots - inFlight - std::max(0.0, reserve - urgentHere);
-    double floorSlots = ranks.m_routineFloor * slots;
-    bool belowFloor = m_slots[row.m_id].m_routine + 1 <= floorSlots;
-    if (free < 1 && !belowFloor) {
-      return false;
-    }
-  }
-  if (row.m_kind == UpstreamKind::Service) {
+  if (aEntry.m_row.m_kind == UpstreamKind::Service) {
     return true;
   }
-  Occupancy sum = RefreshOccupancy(aNow, row.m_id);
-  sum += ForecastGeneration(m_options.m_forecast,
+  // A request larger than the forecast allows still runs on an empty engine.
+  return InFlight(aEntry) < 1 ||
+         HasMemory(aNow, aEntry, aTicket, aNeed, reserve);
+}
+
+Occupancy Dispatcher::NeedOf(const Ticket& aTicket) const
+{
+  return ForecastGeneration(m_options.m_forecast,
                             m_lengths,
                             { aTicket.m_model,
                               aTicket.m_account,
@@ -293,16 +395,6 @@
                               0,
                               aTicket.m_maxTokens,
                               aTicket.m_trueTokens });
-  double limit = MemoryTokens(row) * m_options.m_memoryLimit;
-  double others = 0;
-  if (m_options.m_slotShare < 1) {
-    double reported =
-      static_cast<double>(row.m_load.m_kvBlocksUsed) * row.m_blockTokens;
-    others = std::max(0.0, reported - m_slots[row.m_id].m_occupancy.m_mean[0]);
-  }
-  bool fits = ForecastPeak(m_options.m_forecast, sum) + others <= limit;
-  // A request larger than the forecast allows still runs on an empty engine.
-  return fits || inFlight < 1;
 }
 
 // Placement.
@@ -383,8 +475,9 @@
 {
   std::vector<const UpstreamEntry*> entries;
   std::vector<PlacementView> views;
+  Occupancy need = NeedOf(aTicket);
   for (const UpstreamEntry* entry : Candidates(aUpstreams, aTicket)) {
-    if (HasRoom(aNow, *entry, aLane, aTicket, aUpstreams.size())) {
+    if (HasRoom(aNow, *entry, aLane, aTicket, need, aUpstreams.size())) {
       entries.push_back(entry);
       views.push_back(ViewOf(aNow, *entry, aTicket));
     }
@@ -409,8 +502,7 @@
 {
   const Ticket& ticket = aGrant.m_ticket;
   auto rank = static_cast<size_t>(ticket.m_rank);
-  --m_queued;
-  m_laneOf.erase(ticket.m_id);
+  ForgetQueued(ticket);
   Running running;
   running.m_ticket = ticket;
   running.m_upstream = aGrant.m_upstream;
@@ -424,8 +516,11 @@
   slot.m_requests.insert(ticket.m_id);
   slot.m_routine += ticket.m_rank == Rank::Routine ? 1 : 0;
   slot.m_reservedAlone = slot.m_reservedAlone || running.m_isAlone;
-  slot.m_occupancy +=
-    ForecastGeneration(m_options.m_forecast, m_lengths, SizeOf(running));
+  Occupancy need = NeedOf(ticket);
+  slot.m_occupancy += need;
+  if (ticket.m_rank == Rank::Urgent) {
+    slot.m_urgentOccupancy += need;
+  }
   m_prefixes.Sent(aGrant.m_upstream, ticket.m_prefix);
   m_running[ticket.m_id] = std::move(running);
   ++aLane.m_running[rank];
@@ -440,7 +535,10 @@
   aLane.m_tickedAt = aNow;
   for (size_t rank = 0; rank < kRanks.size(); ++rank) {
     uint32_t granted = std::exchange(aLane.m_grantedInTick[rank], 0);
-    if (aLane.m_queues[rank].Empty() || isFirst) {
+    // The grant that empties a queue ends a wait and counts with it.
+    bool wasBacklogged =
+      std::exchange(aLane.m_wasBacklogged[rank], !aLane.m_queues[rank].Empty());
+    if (!wasBacklogged || isFirst) {
       continue;
     }
     DrainRate& drain = aLane.m_drain[rank];
@@ -503,8 +601,7 @@
 {
   for (FairQueue& queue : aLane.m_queues) {
     for (Ticket& ticket : queue.TakeExpired(aNow)) {
-      --m_queued;
-      m_laneOf.erase(ticket.m_id);
+      ForgetQueued(ticket);
       Duration wait = std::max<Duration>(ExpectedWait(ticket), seconds(1));
       Refusal refusal =
         RefusalBuilder(ErrorKind::Overloaded, "no upstream had room in time")
@@ -528,6 +625,7 @@
     }
   }
   if (sample == nullptr) {
+    NoteDrain(aNow, aLane);
     return;
   }
   std::vector<const UpstreamEntry*> upstreams;
@@ -565,6 +663,14 @@
                                              const UpstreamTable& aTable)
 {
   std::vector<DispatchAction> actions;
+  for (Ticket& ticket : std::exchange(m_displaced, {})) {
+    Duration wait = std::max<Duration>(ExpectedWait(ticket), seconds(1));
+    Refusal refusal =
+      RefusalBuilder(ErrorKind::Overloaded, "the account has too much waiting")
+        .WithRetryAfter(wait)
+        .Build();
+    actions.push_back(DispatchRefusal{ std::move(ticket), refusal });
+  }
   for (auto& [key, lane] : m_lanes) {
     ServeLane(aNow, aTable, lane, actions);
   }
--- a/unittests/Proxy/AnswersTest.cpp
+++ b/unittests/Proxy/AnswersTest.cpp
@@ -36,8 +36,8 @@
 {
   StreamPart(aWriter, aEvents);
   auto timer = std::make_shared<Timer>();
-  *timer = aLoop.RunAfter(milliseconds(30),
-                          [aWriter, timer] { aWriter->Abort(); });
+  *timer =
+    aLoop.RunAfter(milliseconds(30), [aWriter, timer] { aWriter->Abort(); });
 }
 
 static void StreamWhole(const Writer& aWriter, const std::string& aEvents)
@@ -65,7 +65,8 @@
   {
     std::string m_name;
     bool m_isStream;
-    std::function<void(EventLoop&, const HttpRequest&, const Writer&)> m_upstream;
+    std::function<void(EventLoop&, const HttpRequest&, const Writer&)>
+      m_upstream;
     std::string m_text;
     std::string m_errorKind;
   };
@@ -109,7 +110,8 @@
       "" },
     { "a broken stream goes on in the same generation",
       true,
-      [&](EventLoop& aLoop, const HttpRequest& aRequest, const Writer& aWriter) {
+      [&](
+        EventLoop& aLoop, const HttpRequest& aRequest, const Writer& aWriter) {
         if (IsResume(aRequest)) {
           CHECK(aRequest.Header("Last-Event-ID") == "0");
           StreamWhole(aWriter,
@@ -122,7 +124,8 @@
       "" },
     { "a broken stream that cannot resume is interrupted",
       true,
-      [&](EventLoop& aLoop, const HttpRequest& aRequest, const Writer& aWriter) {
+      [&](
+        EventLoop& aLoop, const HttpRequest& aRequest, const Writer& aWriter) {
         if (IsCompletion(aRequest)) {
           StreamAndBreak(aLoop, aWriter, TokenEvent(0, "a"));
         } else {
@@ -259,11 +262,11 @@
 {
   TestSite site;
   int runs = 0;
-  FakeUpstream upstream(
-    site.Loop(), [&](const HttpRequest&, const Writer& aWriter) {
-      ++runs;
-      aWriter->Abort();
-    });
+  FakeUpstream upstream(site.Loop(),
+                        [&](const HttpRequest&, const Writer& aWriter) {
+                          ++runs;
+                          aWriter->Abort();
+                        });
   site.Announce("orders", upstream.Listen(site.Net() + ".9"), "orders");
   for (int i = 0; i < 3; ++i) {
     HttpResponse response = site.Call(OrderOf("lost", "{}"));
@@ -297,13 +300,13 @@
 {
   TestSite site;
   Writer held;
-  FakeUpstream upstream(site.Loop(),
-                        [&](const HttpRequest& aRequest, const Writer& aWriter) {
-                          if (IsCompletion(aRequest)) {
-                            StreamPart(aWriter, TokenEvent(0, "a"));
-                            held = aWriter;
-                          }
-                        });
+  FakeUpstream upstream(
+    site.Loop(), [&](const HttpRequest& aRequest, const Writer& aWriter) {
+      if (IsCompletion(aRequest)) {
+        StreamPart(aWriter, TokenEvent(0, "a"));
+        held = aWriter;
+      }
+    });
   site.Announce("engine", upstream.Listen(site.Net() + ".9"));
   auto pending = site.Start(CompletionOf(kStreamed));
   site.RunUntil([&] { return held != nullptr; });
--- a/unittests/Proxy/TestSite.cpp
+++ b/unittests/Proxy/TestSite.cpp
@@ -55,14 +55,16 @@
 
 Settings TestSite::MakeSettings(size_t aHost, size_t aCount) const
 {
-  std::string text = "[host]\nname = host-" + std::to_string(aHost) +
-                     "\ndata_centre = dc-" + std::to_string(aHost) +
-                     "\nregion = region\n[listen]\nhttp = " +
-                     ToString(HostEndpoint(aHost)) + "\npeer = " + m_net +
-                     "." + std::to_string(aHost + 1) + ":7946\n[peers]\nseeds = ";
+  std::string text =
+    "[host]\nname = host-" + std::to_string(aHost) + "\ndata_centre = dc-" +
+    std::to_string(aHost) +
+    "\nregion = region\n[listen]\nhttp = " + ToString(HostEndpoint(aHost)) +
+    "\npeer = " + m_net + "." + std::to_string(aHost + 1) +
+    ":7946\n[peers]\nseeds = ";
   std::string names;
   for (size_t i = 0; i < aCount; ++i) {
-    text += (i == 0 ? "" : ", ") + m_net + "." + std::to_string(i + 1) + ":7946";
+    text +=
+      (i == 0 ? "" : ", ") + m_net + "." + std::to_string(i + 1) + ":7946";
     names += (i == 0 ? "" : ", ") + std::string("host-") + std::to_string(i);
   }
   text += "\n[state]\ndata_dir = " + m_folder + "/" + std::to_string(aHost) +
@@ -110,10 +112,10 @@
   auto pid = static_cast<unsigned>(::getpid());
   m_net = "127." + std::to_string(20 + pid / 250 % 200) + "." +
           std::to_string(1 + pid % 250);
-  m_folder = (std::filesystem::temp_directory_path() /
-              ("persimmontally-" + std::to_string(pid) + "-" +
-               std::to_string(sites++)))
-               .string();
+  m_folder =
+    (std::filesystem::temp_directory_path() /
+     ("persimmontally-" + std::to_string(pid) + "-" + std::to_string(sites++)))
+      .string();
   std::filesystem::create_directories(m_folder);
   for (size_t i = 0; i < aHosts; ++i) {
     m_hosts.push_back(
--- a/unittests/Proxy/TestSite.h
+++ b/unittests/Proxy/TestSite.h
@@ -15,7 +15,8 @@
 namespace persimmontally {
 
 /// Upstream whose answers a test writes by hand.
-class FakeUpstream {
+class FakeUpstream
+{
 public:
   using Handler =
     std::function<void(const HttpRequest&, std::shared_ptr<ResponseWriter>)>;
@@ -32,7 +33,8 @@
 };
 
 /// Entry hosts in one process on loopback, with lists in force.
-class TestSite {
+class TestSite
+{
 public:
   explicit TestSite(size_t aHosts = 1);
   ~TestSite();
@@ -43,7 +45,8 @@
 
   HttpResponse Call(HttpRequest aRequest, size_t aHost = 0);
   /// Starts a call and returns where its answer will be.
-  struct PendingCall {
+  struct PendingCall
+  {
     bool m_isDone = false;
     absl::Status m_status;
     HttpResponse m_response;
