[Routing] Give each host a share of what seems free on an upstream

Cause: hosts that decide alone on lagging reports overfill the same engines. Change: a host may use its share of the slots and memory, and the same share of what seems free beyond; the share is one over the live hosts.

--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -106,6 +106,8 @@
   {
     m_options.m_ranks.m_routineFloor = aFloor;
   }
+  /// Sets the part of the upstreams' slots that this dispatcher may count on.
+  void SetSlotShare(double aShare) { m_options.m_slotShare = aShare; }
   void SetPoisonSuspects(std::set<uint64_t> aSuspects)
   {
     m_suspects = std::move(aSuspects);
@@ -192,6 +194,7 @@
                const Ticket& aTicket,
                const Occupancy& aNeed,
                size_t aUpstreamCount);
+  double OwnSlots(Instant aNow, const UpstreamEntry& aEntry) const;
   bool HasSlot(Instant aNow,
                const UpstreamEntry& aEntry,
                const Ticket& aTicket,
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -62,8 +62,6 @@
   options.m_dispatch.m_region = aSettings.m_region;
   options.m_dispatch.m_maxQueued =
     static_cast<size_t>(aSettings.m_maxQueuedRequests);
-  // Several hosts share the upstreams, and each sees only its own part.
-  options.m_dispatch.m_slotShare = 0.5;
   auto placement = ParsePlacementPolicy(aSettings.m_routingPolicy);
   if (placement.ok()) {
     options.m_dispatch.m_placement = *placement;
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -359,9 +359,14 @@
 void Gateway::UpdateHostCount()
 {
   size_t count = 0;
+  size_t alive = 0;
   for (const auto& [id, row] : m_membership.Hosts()) {
     count += row.m_state != HostState::Left ? 1 : 0;
+    alive += row.m_state <= HostState::Suspect ? 1 : 0;
   }
+  // Each live host places on its own; a share keeps them from overfilling the
+  // upstreams together.
+  m_dispatcher.SetSlotShare(1.0 / static_cast<double>(std::max<size_t>(alive, 1)));
   m_shares.SetHostCount(count);
 }
 
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -302,14 +302,29 @@
   return std::min(part, 1 - ranks.m_routineFloor);
 }
 
+/// Slots that this dispatcher may use: all of them, or its own share and the
+/// same share of what seems free beyond, so that dispatchers that do not know
+/// of each other's placements do not overfill the engine together.
+double Dispatcher::OwnSlots(Instant aNow, const UpstreamEntry& aEntry) const
+{
+  double slots = UsableSlots(aNow, aEntry);
+  double share = m_options.m_slotShare;
+  if (share >= 1) {
+    return slots;
+  }
+  double own = static_cast<double>(RunningOn(aEntry.m_row.m_id));
+  double free = std::max(0.0, slots - InFlight(aEntry));
+  return std::max(slots * share, own + free * share);
+}
+
 bool Dispatcher::HasSlot(Instant aNow,
                          const UpstreamEntry& aEntry,
                          const Ticket& aTicket,
                          double aUrgentReserve)
 {
-  double slots = UsableSlots(aNow, aEntry);
-  double inFlight = InFlight(aEntry);
-  if (slots <= 0 || inFlight + 1 > std::max(slots, 1.0)) {
+  double slots = OwnSlots(aNow, aEntry);
+  double own = static_cast<double>(RunningOn(aEntry.m_row.m_id));
+  if (slots <= 0 || own + 1 > std::max(slots, 1.0)) {
     return false;
   }
   const RankOrder& ranks = m_options.m_ranks;
@@ -317,10 +332,9 @@
     return true;
   }
   double routine = m_slots[aEntry.m_row.m_id].m_routine;
-  double reserved =
-    std::max(0.0, aUrgentReserve * slots - (inFlight - routine));
+  double reserved = std::max(0.0, aUrgentReserve * slots - (own - routine));
   bool isBelowFloor = routine + 1 <= ranks.m_routineFloor * slots;
-  return inFlight + 1 + reserved <= slots || isBelowFloor;
+  return own + 1 + reserved <= slots || isBelowFloor;
 }
 
 /// Routine work must leave the reserve of memory free. Urgent work may use the
@@ -336,14 +350,17 @@
   Occupancy sum = RefreshOccupancy(aNow, row.m_id);
   Slot& slot = m_slots[row.m_id];
   double limit = MemoryTokens(row) * m_options.m_memoryLimit;
-  double others = 0;
   if (m_options.m_slotShare < 1) {
     double reported =
       static_cast<double>(row.m_load.m_kvBlocksUsed) * row.m_blockTokens;
-    others = std::max(0.0, reported - slot.m_occupancy.m_mean[0]);
+    double others = std::max(0.0, reported - slot.m_occupancy.m_mean[0]);
+    double own = ForecastPeak(m_options.m_forecast, sum);
+    double free = std::max(0.0, limit - others - own);
+    double share = m_options.m_slotShare;
+    limit = std::max(limit * share, own + free * share);
   }
   sum += aNeed;
-  double peak = ForecastPeak(m_options.m_forecast, sum) + others;
+  double peak = ForecastPeak(m_options.m_forecast, sum);
   const RankOrder& ranks = m_options.m_ranks;
   if (ranks.m_isFirstComeFirstServed) {
     return peak <= limit;
