[Routing] Let one host of a data centre grant the slots of a model

Change: for each model or service one live host of the data centre, by rendezvous hashing, queues the tickets of all and grants slots; callers' bytes go straight from their entry host. It keeps nothing durable: entry hosts repeat what waits and runs. The reserve for urgent work is at most half of an engine. In one process with real sockets, 60 calls through 3 hosts: never more than the 8 slots.

--- a/include/persimmontally/Proxy/Gateway.h
+++ b/include/persimmontally/Proxy/Gateway.h
@@ -6,8 +6,8 @@
 #include "persimmontally/Net/HttpServer.h"
 #include "persimmontally/Proxy/DecisionLog.h"
 #include "persimmontally/Proxy/PlanBook.h"
-#include "persimmontally/Routing/Dispatcher.h"
 #include "persimmontally/Routing/RetryBudget.h"
+#include "persimmontally/Routing/SharedDispatch.h"
 
 #include <functional>
 #include <map>
@@ -72,13 +72,23 @@
   bool IsShuttingDown() const { return m_isShuttingDown; }
   size_t OpenRequests() const { return m_flows.size(); }
   void ReceiveShare(const HostId& aFrom, const ShareMessage& aMessage);
+  void ReceiveDispatch(const HostId& aFrom, const DispatchBatch& aBatch);
+  std::vector<std::pair<HostId, DispatchBatch>> TakeDispatchSends()
+  {
+    return m_placement.TakeSends();
+  }
+  /// Sets what is called when there are messages to take.
+  void OnDispatchSends(std::function<void()> aAction)
+  {
+    m_onDispatchSends = std::move(aAction);
+  }
 
   // Used by the flows of single requests.
   EventLoop& Loop() { return m_loop; }
   Membership& Members() { return m_membership; }
   StateService& State() { return m_state; }
   Metrics& Counters() { return m_metrics; }
-  Dispatcher& Placement() { return m_dispatcher; }
+  SharedDispatch& Placement() { return m_placement; }
   AccountLimits& Limits() { return m_limits; }
   RetryBudget& Retries() { return m_retries; }
   DecisionLog& Decisions() { return m_decisions; }
@@ -117,7 +127,8 @@
   RequestId NewRequestId();
   void ApplyActions(std::vector<DispatchAction> aActions);
   void UpdatePlans();
-  void UpdateHostCount();
+  void UpdateHosts();
+  void RunPlacement();
   void MoveShares();
   void ProbeUpstream(const UpstreamId& aId, uint64_t aIncarnation);
   void EndDeathCheck(const UpstreamId& aId,
@@ -131,7 +142,7 @@
   StateService& m_state;
   Metrics& m_metrics;
   GatewayOptions m_options;
-  Dispatcher m_dispatcher;
+  SharedDispatch m_placement;
   AccountLimits m_limits;
   ShareLedger m_shares;
   RetryBudget m_retries;
@@ -146,6 +157,7 @@
   bool m_isShuttingDown = false;
   bool m_takesWork = true;
   bool m_kicked = false;
+  std::function<void()> m_onDispatchSends;
 };
 
 /// Answers with a refusal, under the caller's own request id.
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -53,6 +53,9 @@
   /// Parts of the fleet that other dispatchers use: slots are divided by it.
   /// 1 when this dispatcher alone grants slots of the upstreams.
   double m_slotShare = 1;
+  /// The same for upstreams of other data centres, whose own hosts grant most
+  /// of their slots.
+  double m_remoteSlotShare = 1;
 };
 
 /// A placement, with what spoke for it.
@@ -92,6 +95,11 @@
 
   /// Queues a ticket, or refuses it at once.
   std::optional<Refusal> Enqueue(Instant aNow, Ticket aTicket);
+  /// Takes over a request that another dispatcher placed.
+  void Adopt(Instant aNow,
+             Ticket aTicket,
+             const UpstreamId& aUpstream,
+             uint32_t aTokens);
   /// Removes a ticket whose caller has gone; false if it does not wait.
   bool Withdraw(const RequestId& aId);
   /// Tokens that a placed request has produced so far.
@@ -107,7 +115,11 @@
     m_options.m_ranks.m_routineFloor = aFloor;
   }
   /// Sets the part of the upstreams' slots that this dispatcher may count on.
-  void SetSlotShare(double aShare) { m_options.m_slotShare = aShare; }
+  void SetSlotShare(double aOwn, double aRemote)
+  {
+    m_options.m_slotShare = aOwn;
+    m_options.m_remoteSlotShare = aRemote;
+  }
   void SetPoisonSuspects(std::set<uint64_t> aSuspects)
   {
     m_suspects = std::move(aSuspects);
@@ -194,6 +206,8 @@
                const Ticket& aTicket,
                const Occupancy& aNeed,
                size_t aUpstreamCount);
+  double ShareOf(const UpstreamEntry& aEntry) const;
+  void Occupy(Instant aNow, Lane& aLane, Running aRunning);
   double OwnSlots(Instant aNow, const UpstreamEntry& aEntry) const;
   bool HasSlot(Instant aNow,
                const UpstreamEntry& aEntry,
--- a/include/persimmontally/Wire/Codec.h
+++ b/include/persimmontally/Wire/Codec.h
@@ -2,6 +2,7 @@
 #define PERSIMMONTALLY_WIRE_CODEC_H
 
 #include "persimmontally/Support/Ids.h"
+#include "persimmontally/Wire/DispatchMessage.h"
 #include "persimmontally/Wire/GossipMessage.h"
 #include "persimmontally/Wire/RaftMessage.h"
 #include "persimmontally/Wire/StateMessage.h"
@@ -20,7 +21,8 @@
                                  ProposeRequest,
                                  ProposeReply,
                                  PlanPull,
-                                 PlanState>;
+                                 PlanState,
+                                 DispatchBatch>;
 
 /// Encodes a value; the layout is cereal's binary one, little-endian.
 /// Instantiated for the messages of this folder only.
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -99,6 +99,7 @@
   void ControlTick();
   void FlushMembership();
   void FlushState();
+  void FlushDispatch();
   void OnDatagram(std::string_view aData);
   void OnFrame(std::string_view aData);
   void SendMessage(const Endpoint& aTo, const PeerMessage& aMessage);
@@ -140,6 +141,7 @@
                                         m_metrics,
                                         MakeGatewayOptions(m_settings),
                                         RandomSeed());
+  m_gateway->OnDispatchSends([this] { FlushDispatch(); });
   m_http = std::make_unique<HttpServer>(
     m_loop,
     MakeHttpLimits(m_settings),
@@ -241,6 +243,16 @@
   m_link.Send(aTo, std::move(data));
 }
 
+void EntryHost::Impl::FlushDispatch()
+{
+  for (auto& [host, batch] : m_gateway->TakeDispatchSends()) {
+    const HostRow* row = m_membership.FindHost(host);
+    if (row != nullptr) {
+      SendMessage(row->m_peer, std::move(batch));
+    }
+  }
+}
+
 /// Writes and syncs what the state decided, at most once a turn of the loop.
 void EntryHost::Impl::FlushState()
 {
@@ -300,10 +312,16 @@
     FlushMembership();
     return;
   }
+  if (auto* batch = std::get_if<DispatchBatch>(&*message)) {
+    m_gateway->ReceiveDispatch(sealed->m_from, *batch);
+    return;
+  }
   std::visit(
     [&](const auto& aBody) {
-      if constexpr (!std::is_same_v<std::decay_t<decltype(aBody)>,
-                                    MembershipTables>) {
+      using Body = std::decay_t<decltype(aBody)>;
+      constexpr bool kIsHandled = std::is_same_v<Body, MembershipTables> ||
+                                  std::is_same_v<Body, DispatchBatch>;
+      if constexpr (!kIsHandled) {
         m_state->Receive(now, aBody);
       }
     },
--- a/lib/Load/VirtualBench.cpp
+++ b/lib/Load/VirtualBench.cpp
@@ -31,6 +31,7 @@
   if (aName == "round_robin" || aName == "least_in_flight") {
     variant.m_dispatchers = kEntryHosts;
     dispatch.m_slotShare = 1.0 / kEntryHosts;
+    dispatch.m_remoteSlotShare = 1.0 / kEntryHosts;
     dispatch.m_forecast = NoForecast();
     dispatch.m_ranks.m_isFirstComeFirstServed = true;
     dispatch.m_maxQueued = 1'000'000;
@@ -42,6 +43,7 @@
   if (aName == "own") {
     variant.m_dispatchers = kEntryHosts;
     dispatch.m_slotShare = 1.0 / kEntryHosts;
+    dispatch.m_remoteSlotShare = 1.0 / kEntryHosts;
     return variant;
   }
   variant.m_grantDelay = milliseconds(4);
--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -277,7 +277,7 @@
     metrics.Record(isUrgent ? "time_between_tokens{rank=\"urgent\"}"
                             : "time_between_tokens{rank=\"routine\"}",
                    now - m_lastTokenAt);
-    m_gateway.Placement().Health().RecordGap(
+    m_gateway.Placement().Local().Health().RecordGap(
       now, m_upstream, now - m_lastTokenAt);
   }
   m_lastTokenAt = now;
@@ -350,8 +350,7 @@
     return;
   }
   if (aStatus.code() == absl::StatusCode::kDeadlineExceeded) {
-    m_gateway.Placement().Health().RecordStall(m_gateway.Loop().Now(),
-                                               m_upstream);
+    m_gateway.Placement().RecordStall(m_gateway.Loop().Now(), m_upstream);
   }
   OnAttemptFailed(aStatus.ok() ? "the upstream ended the answer early"
                                : std::string(aStatus.message()));
@@ -537,7 +536,7 @@
   auto self = shared_from_this();
   m_timer.Cancel();
   Instant now = m_gateway.Loop().Now();
-  if (!m_gateway.Placement().Withdraw(m_id)) {
+  if (!m_gateway.Placement().Withdraw(now, m_id)) {
     m_gateway.Placement().Complete(now, m_id, aOutcome);
   }
   m_gateway.Limits().Finish(m_account);
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -71,7 +71,7 @@
   , m_state(aState)
   , m_metrics(aMetrics)
   , m_options(std::move(aOptions))
-  , m_dispatcher(m_options.m_dispatch, aSeed)
+  , m_placement(m_options.m_host, m_options.m_dispatch, aSeed)
   , m_retries(aSeed + 1)
   , m_idPrefix(m_options.m_host.Value() + "-" + RandomHexId().substr(0, 8))
 {
@@ -287,6 +287,20 @@
 
 // Turn of the loop.
 
+void Gateway::RunPlacement()
+{
+  ApplyActions(m_placement.Tick(m_loop.Now(), m_membership.Upstreams()));
+  if (m_onDispatchSends) {
+    m_onDispatchSends();
+  }
+}
+
+void Gateway::ReceiveDispatch(const HostId& aFrom, const DispatchBatch& aBatch)
+{
+  m_placement.Receive(m_loop.Now(), aFrom, aBatch);
+  Kick();
+}
+
 void Gateway::Kick()
 {
   if (std::exchange(m_kicked, true)) {
@@ -294,22 +308,24 @@
   }
   m_loop.Post([this] {
     m_kicked = false;
-    ApplyActions(m_dispatcher.Tick(m_loop.Now(), m_membership.Upstreams()));
+    RunPlacement();
   });
 }
 
 void Gateway::Tick()
 {
   UpdatePlans();
-  UpdateHostCount();
+  UpdateHosts();
   NoteGoneUpstreams();
-  m_dispatcher.SetPoisonSuspects(PoisonSuspects(m_membership.Poison()));
-  ApplyActions(m_dispatcher.Tick(m_loop.Now(), m_membership.Upstreams()));
+  m_placement.Local().SetPoisonSuspects(PoisonSuspects(m_membership.Poison()));
+  RunPlacement();
   MoveShares();
-  m_metrics.SetGauge("queued{rank=\"urgent\"}",
-                     static_cast<double>(m_dispatcher.Queued(Rank::Urgent)));
-  m_metrics.SetGauge("queued{rank=\"routine\"}",
-                     static_cast<double>(m_dispatcher.Queued(Rank::Routine)));
+  m_metrics.SetGauge(
+    "queued{rank=\"urgent\"}",
+    static_cast<double>(m_placement.Local().Queued(Rank::Urgent)));
+  m_metrics.SetGauge(
+    "queued{rank=\"routine\"}",
+    static_cast<double>(m_placement.Local().Queued(Rank::Routine)));
   m_metrics.SetGauge("open_requests", static_cast<double>(m_flows.size()));
 }
 
@@ -319,7 +335,7 @@
     if (auto* grant = std::get_if<DispatchGrant>(&action)) {
       auto at = m_flows.find(grant->m_ticket.m_id);
       if (at == m_flows.end()) {
-        m_dispatcher.Complete(
+        m_placement.Complete(
           m_loop.Now(), grant->m_ticket.m_id, DispatchOutcome::Cancelled);
         continue;
       }
@@ -351,23 +367,31 @@
     return;
   }
   m_membership.SetPlanIndex(state.m_index);
-  m_dispatcher.SetRoutineFloor(m_plans.Plans().m_routineFloor);
+  m_placement.Local().SetRoutineFloor(m_plans.Plans().m_routineFloor);
 }
 
 /// Plans are divided among all hosts that are known, up or not, so that the
 /// parts still sum to the plan while some cannot be reached.
-void Gateway::UpdateHostCount()
+void Gateway::UpdateHosts()
 {
   size_t count = 0;
-  size_t alive = 0;
+  std::vector<HostId> neighbours;
+  std::set<DataCentreId> dataCentres;
   for (const auto& [id, row] : m_membership.Hosts()) {
     count += row.m_state != HostState::Left ? 1 : 0;
-    alive += row.m_state <= HostState::Suspect ? 1 : 0;
+    if (row.m_state > HostState::Suspect) {
+      continue;
+    }
+    dataCentres.insert(row.m_dataCentre);
+    if (row.m_dataCentre == m_membership.Self().m_dataCentre) {
+      neighbours.push_back(id);
+    }
   }
-  // Each live host places on its own; a share keeps them from overfilling the
-  // upstreams together.
-  m_dispatcher.SetSlotShare(1.0 /
-                            static_cast<double>(std::max<size_t>(alive, 1)));
+  // The hosts of a data centre grant all slots of its upstreams, and a share
+  // of what is free elsewhere.
+  m_placement.SetHosts(m_loop.Now(), std::move(neighbours));
+  m_placement.Local().SetSlotShare(
+    1, 1.0 / static_cast<double>(std::max<size_t>(dataCentres.size(), 1)));
   m_shares.SetHostCount(count);
 }
 
@@ -434,8 +458,8 @@
   for (const auto& [id, entry] : m_membership.Upstreams().Rows()) {
     uint64_t& seen = m_seenIncarnations[id];
     if (seen != 0 && seen != entry.m_row.m_incarnation) {
-      m_dispatcher.Prefixes().Forget(id);
-      m_dispatcher.Health().Forget(id);
+      m_placement.Local().Prefixes().Forget(id);
+      m_placement.Local().Health().Forget(id);
     }
     seen = entry.m_row.m_incarnation;
   }
@@ -495,15 +519,17 @@
              { { "upstream", aId.Value() },
                { "suspects", check.m_fingerprints.size() } });
     m_metrics.Add("upstream_deaths_total");
-    m_dispatcher.Health().RecordStall(m_loop.Now(), aId);
-    m_dispatcher.Health().RecordStall(m_loop.Now(), aId);
+    // Two stalls eject an upstream.
+    m_placement.RecordStall(m_loop.Now(), aId);
+    m_placement.RecordStall(m_loop.Now(), aId);
     for (uint64_t fingerprint : check.m_fingerprints) {
       PoisonRow row;
       row.m_fingerprint = fingerprint;
       row.m_deaths.insert(aId.Value() + "/" + std::to_string(aIncarnation));
       m_membership.ReportPoison(m_loop.Now(), row);
     }
-    m_dispatcher.SetPoisonSuspects(PoisonSuspects(m_membership.Poison()));
+    m_placement.Local().SetPoisonSuspects(
+      PoisonSuspects(m_membership.Poison()));
   }
   for (auto& callback : check.m_callbacks) {
     callback(aIsDead);
--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -298,7 +298,7 @@
 {
   Instant now = m_gateway.Loop().Now();
   m_gateway.Placement().Complete(now, m_id, DispatchOutcome::Failed);
-  m_gateway.Placement().Health().RecordStall(now, m_upstream);
+  m_gateway.Placement().RecordStall(now, m_upstream);
   m_excluded.insert(m_upstream);
   if (m_attempts < m_gateway.Options().m_maxAttempts) {
     Enqueue();
@@ -414,7 +414,7 @@
   auto self = shared_from_this();
   m_timer.Cancel();
   Instant now = m_gateway.Loop().Now();
-  if (!m_gateway.Placement().Withdraw(m_id)) {
+  if (!m_gateway.Placement().Withdraw(now, m_id)) {
     m_gateway.Placement().Complete(now, m_id, aOutcome);
   }
   m_gateway.Limits().Finish(m_account);
--- a/lib/Proxy/UpstreamApi.cpp
+++ b/lib/Proxy/UpstreamApi.cpp
@@ -239,7 +239,7 @@
              std::string(events.status().message()));
       return;
     }
-    if (!m_dispatcher.Prefixes().Apply(*events)) {
+    if (!m_placement.Local().Prefixes().Apply(*events)) {
       m_metrics.Add("cache_event_gaps_total");
     }
     SendJson(*aWriter, 200, "{}");
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -10,7 +10,10 @@
 static constexpr Duration kForecastPeriod = milliseconds(200);
 /// Reports lag: what was placed within this time before one is not in it.
 static constexpr Duration kReportLag = milliseconds(500);
-static constexpr Duration kUrgentPeakHalfLife = seconds(20);
+static constexpr Duration kUrgentPeakHalfLife = seconds(10);
+/// Most of an engine that is kept free for urgent work: beyond this, urgent
+/// work waits for slots that come free rather than leave them idle.
+static constexpr double kMostUrgentReserve = 0.5;
 /// Head room over the urgent work seen of late.
 static constexpr double kUrgentPeakMargin = 1.25;
 /// Time over which the rate of grants is averaged.
@@ -209,6 +212,40 @@
   return at == m_slots.end() ? 0 : at->second.m_requests.size();
 }
 
+/// Counts a request among those that run on its upstream.
+void Dispatcher::Occupy(Instant, Lane& aLane, Running aRunning)
+{
+  const Ticket& ticket = aRunning.m_ticket;
+  Slot& slot = m_slots[aRunning.m_upstream];
+  slot.m_requests.insert(ticket.m_id);
+  slot.m_routine += ticket.m_rank == Rank::Routine ? 1 : 0;
+  slot.m_reservedAlone = slot.m_reservedAlone || aRunning.m_isAlone;
+  Occupancy need = NeedOf(ticket);
+  slot.m_occupancy += need;
+  if (ticket.m_rank == Rank::Urgent) {
+    slot.m_urgentOccupancy += need;
+  }
+  ++aLane.m_running[static_cast<size_t>(ticket.m_rank)];
+  m_running[ticket.m_id] = std::move(aRunning);
+}
+
+void Dispatcher::Adopt(Instant aNow,
+                       Ticket aTicket,
+                       const UpstreamId& aUpstream,
+                       uint32_t aTokens)
+{
+  Lane& lane = m_lanes[KeyOf(aTicket)];
+  Running running;
+  running.m_upstream = aUpstream;
+  running.m_grantedAt = aNow;
+  running.m_tokens = aTokens;
+  running.m_charged = static_cast<double>(aTicket.m_promptTokens) + aTokens;
+  running.m_isAlone = m_suspects.contains(aTicket.m_fingerprint);
+  running.m_ticket = std::move(aTicket);
+  m_slots[aUpstream].m_forecastAt = Instant();
+  Occupy(aNow, lane, std::move(running));
+}
+
 // Load of an upstream.
 
 double Dispatcher::InFlight(const UpstreamEntry& aEntry) const
@@ -217,7 +254,7 @@
   double own = slot == m_slots.end()
                  ? 0
                  : static_cast<double>(slot->second.m_requests.size());
-  if (m_options.m_slotShare >= 1) {
+  if (ShareOf(aEntry) >= 1) {
     return own;
   }
   // Others' part: what the report shows beyond the own requests in it.
@@ -299,7 +336,13 @@
   double share = aLane.m_urgentPeak * kUrgentPeakMargin /
                  static_cast<double>(std::max<size_t>(aUpstreamCount, 1));
   double part = std::max(ranks.m_leastUrgentReserve, share / slots);
-  return std::min(part, 1 - ranks.m_routineFloor);
+  return std::min({ part, kMostUrgentReserve, 1 - ranks.m_routineFloor });
+}
+
+double Dispatcher::ShareOf(const UpstreamEntry& aEntry) const
+{
+  bool isOwn = aEntry.m_row.m_dataCentre == m_options.m_dataCentre;
+  return isOwn ? m_options.m_slotShare : m_options.m_remoteSlotShare;
 }
 
 /// Slots that this dispatcher may use: all of them, or its own share and the
@@ -308,7 +351,7 @@
 double Dispatcher::OwnSlots(Instant aNow, const UpstreamEntry& aEntry) const
 {
   double slots = UsableSlots(aNow, aEntry);
-  double share = m_options.m_slotShare;
+  double share = ShareOf(aEntry);
   if (share >= 1) {
     return slots;
   }
@@ -350,13 +393,13 @@
   Occupancy sum = RefreshOccupancy(aNow, row.m_id);
   Slot& slot = m_slots[row.m_id];
   double limit = MemoryTokens(row) * m_options.m_memoryLimit;
-  if (m_options.m_slotShare < 1) {
+  double share = ShareOf(aEntry);
+  if (share < 1) {
     double reported =
       static_cast<double>(row.m_load.m_kvBlocksUsed) * row.m_blockTokens;
     double others = std::max(0.0, reported - slot.m_occupancy.m_mean[0]);
     double own = ForecastPeak(m_options.m_forecast, sum);
     double free = std::max(0.0, limit - others - own);
-    double share = m_options.m_slotShare;
     limit = std::max(limit * share, own + free * share);
   }
   sum += aNeed;
@@ -529,19 +572,8 @@
                         ticket.m_model, ticket.m_account, ticket.m_maxTokens);
   running.m_isAlone = m_suspects.contains(ticket.m_fingerprint);
   QueueOf(aLane, ticket.m_rank).Charge(ticket.m_account, running.m_charged);
-  Slot& slot = m_slots[aGrant.m_upstream];
-  slot.m_requests.insert(ticket.m_id);
-  slot.m_routine += ticket.m_rank == Rank::Routine ? 1 : 0;
-  slot.m_reservedAlone = slot.m_reservedAlone || running.m_isAlone;
-  Occupancy need = NeedOf(ticket);
-  slot.m_occupancy += need;
-  if (ticket.m_rank == Rank::Urgent) {
-    slot.m_urgentOccupancy += need;
-  }
   m_prefixes.Sent(aGrant.m_upstream, ticket.m_prefix);
-  m_running[ticket.m_id] = std::move(running);
-  ++aLane.m_running[rank];
-
+  Occupy(aNow, aLane, std::move(running));
   ++aLane.m_grantedInTick[rank];
 }
 
--- a/unittests/Proxy/AnswersTest.cpp
+++ b/unittests/Proxy/AnswersTest.cpp
@@ -191,6 +191,38 @@
   CHECK(bad.Count("POST /v1/completions") >= 1);
 }
 
+TEST_CASE("hosts of a data centre never overfill an upstream together")
+{
+  TestSite site(3);
+  size_t running = 0;
+  size_t most = 0;
+  FakeUpstream upstream(
+    site.Loop(), [&](const HttpRequest& aRequest, const Writer& aWriter) {
+      if (!IsCompletion(aRequest)) {
+        aWriter->SendWhole({ 404, {}, "{}" });
+        return;
+      }
+      most = std::max(most, ++running);
+      auto timer = std::make_shared<Timer>();
+      *timer = site.Loop().RunAfter(milliseconds(40), [&, aWriter, timer] {
+        --running;
+        StreamWhole(aWriter, TokenEvent(0, "a") + EndEvents(1));
+      });
+    });
+  site.Announce("engine", upstream.Listen(site.Net() + ".9"));
+  std::vector<std::shared_ptr<TestSite::PendingCall>> calls;
+  for (size_t i = 0; i < 60; ++i) {
+    calls.push_back(site.Start(CompletionOf(kStreamed), i % 3));
+  }
+  for (const auto& call : calls) {
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(SeenText(call->m_response.m_body) == "a");
+  }
+  // The upstream announced eight slots.
+  CHECK(most <= 8);
+  CHECK(most >= 6);
+}
+
 TEST_CASE("without an upstream in time a request is refused as not run")
 {
   TestSite site;
--- a/unittests/Proxy/TestSite.cpp
+++ b/unittests/Proxy/TestSite.cpp
@@ -55,12 +55,11 @@
 
 Settings TestSite::MakeSettings(size_t aHost, size_t aCount) const
 {
-  std::string text =
-    "[host]\nname = host-" + std::to_string(aHost) + "\ndata_centre = dc-" +
-    std::to_string(aHost) +
-    "\nregion = region\n[listen]\nhttp = " + ToString(HostEndpoint(aHost)) +
-    "\npeer = " + m_net + "." + std::to_string(aHost + 1) +
-    ":7946\n[peers]\nseeds = ";
+  std::string text = "[host]\nname = host-" + std::to_string(aHost) +
+                     "\ndata_centre = dc-0"
+                     "\nregion = region\n[listen]\nhttp = " +
+                     ToString(HostEndpoint(aHost)) + "\npeer = " + m_net + "." +
+                     std::to_string(aHost + 1) + ":7946\n[peers]\nseeds = ";
   std::string names;
   for (size_t i = 0; i < aCount; ++i) {
     text +=
--- a/unittests/State/StateSite.cpp
+++ b/unittests/State/StateSite.cpp
@@ -192,8 +192,9 @@
   StateService& service = Service(aPacket.m_to);
   std::visit(
     [&](const auto& aBody) {
-      if constexpr (!std::is_same_v<std::decay_t<decltype(aBody)>,
-                                    MembershipTables>) {
+      using Body = std::decay_t<decltype(aBody)>;
+      if constexpr (!std::is_same_v<Body, MembershipTables> &&
+                    !std::is_same_v<Body, DispatchBatch>) {
         service.Receive(m_now, aBody);
       }
     },
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -39,13 +39,17 @@
   order.m_key = "small/orders/1";
   MembershipTables tables;
   tables.m_hosts = SampleGossip().m_hosts;
+  DispatchBatch batch;
+  batch.m_ends = { { "r#1", 1, 7 } };
+  batch.m_unknown = { "r#2" };
   return { tables,
            raft,
            install,
            ProposeRequest{ "p", HostId("h"), order },
            ProposeReply{ "p", true, HostId("h"), {} },
            PlanPull{ HostId("h"), 3 },
-           PlanState{ "g", 4, { 1, "{}" }, { 2, "{}" } } };
+           PlanState{ "g", 4, { 1, "{}" }, { 2, "{}" } },
+           batch };
 }
 
 TEST_CASE("messages survive encoding")
