--- a/include/persimmontally/Membership/UpstreamTable.h
+++ b/include/persimmontally/Membership/UpstreamTable.h
@@ -47,6 +47,9 @@
   bool Renew(Instant aNow, const UpstreamRenewal& aRenewal);
   void ForgetOld(Instant aNow);
 
+  /// Changes whenever a row is added, removed or announced with other
+  /// properties; renewals leave it as it is.
+  uint64_t Version() const { return m_version; }
   const UpstreamEntry* Find(const UpstreamId& aId) const;
   const std::map<UpstreamId, UpstreamEntry>& Rows() const { return m_rows; }
   /// Whether new work may be sent to it.
@@ -56,6 +59,7 @@
 
 private:
   std::map<UpstreamId, UpstreamEntry> m_rows;
+  uint64_t m_version = 1;
 };
 
 /// Checks an announced row for nonsense.
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -169,6 +169,13 @@
     std::array<uint32_t, kRanks.size()> m_grantedInTick{};
     std::array<bool, kRanks.size()> m_wasBacklogged{};
     Instant m_tickedAt;
+    /// Upstreams that serve this work, as of a version of their table, and
+    /// their usable slots. Rebuilt once in a while, so that one decision does
+    /// not cost a look at the whole fleet.
+    std::vector<const UpstreamEntry*> m_upstreams;
+    uint64_t m_tableVersion = 0;
+    Instant m_listedAt;
+    double m_slots = 0;
     /// Highest number of urgent requests that ran of late; it fades.
     double m_urgentPeak = 0;
     Instant m_peakAt;
@@ -179,6 +186,10 @@
   void ForgetQueued(const Ticket& aTicket);
   static LaneKey KeyOf(const Ticket& aTicket);
   FairQueue& QueueOf(Lane& aLane, Rank aRank);
+  void ListUpstreams(Instant aNow,
+                     const UpstreamTable& aTable,
+                     const Ticket& aSample,
+                     Lane& aLane);
   void ServeLane(Instant aNow,
                  const UpstreamTable& aTable,
                  Lane& aLane,
@@ -195,6 +206,7 @@
     const Lane& aLane,
     const Ticket& aTicket);
   std::vector<const UpstreamEntry*> Candidates(
+    Instant aNow,
     const std::vector<const UpstreamEntry*>& aUpstreams,
     const Ticket& aTicket);
   PlacementView ViewOf(Instant aNow,
--- a/lib/Membership/UpstreamTable.cpp
+++ b/lib/Membership/UpstreamTable.cpp
@@ -17,6 +17,7 @@
   auto at = m_rows.find(aRow.m_id);
   if (at == m_rows.end()) {
     m_rows[aRow.m_id] = { aRow, aNow + kLeaseDuration, aNow };
+    ++m_version;
     return UpstreamMerge::Changed;
   }
   UpstreamRow& known = at->second.m_row;
@@ -35,6 +36,7 @@
   }
   bool changed = !sameLife || !SameProperties(merged, known);
   at->second = { merged, aNow + kLeaseDuration, aNow };
+  m_version += changed ? 1 : 0;
   return changed ? UpstreamMerge::Changed : UpstreamMerge::Renewed;
 }
 
@@ -59,9 +61,10 @@
 
 void UpstreamTable::ForgetOld(Instant aNow)
 {
-  std::erase_if(m_rows, [&](const auto& aItem) {
+  size_t erased = std::erase_if(m_rows, [&](const auto& aItem) {
     return aItem.second.m_leaseEnd + kForgetAfter < aNow;
   });
+  m_version += erased > 0 ? 1 : 0;
 }
 
 const UpstreamEntry* UpstreamTable::Find(const UpstreamId& aId) const
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -10,6 +10,8 @@
 static constexpr Duration kForecastPeriod = milliseconds(200);
 /// Reports lag: what was placed within this time before one is not in it.
 static constexpr Duration kReportLag = milliseconds(500);
+/// Age of a lane's list of upstreams at which it is made anew.
+static constexpr Duration kListPeriod = milliseconds(100);
 static constexpr Duration kUrgentPeakHalfLife = seconds(10);
 /// Most of an engine that is kept free for urgent work: beyond this, urgent
 /// work waits for slots that come free rather than leave them idle.
@@ -483,9 +485,11 @@
 /// Bounds the upstreams compared for one request, so that its cost does not
 /// grow with the fleet: those of the own data centre first, a random part.
 std::vector<const UpstreamEntry*> Dispatcher::Candidates(
+  Instant aNow,
   const std::vector<const UpstreamEntry*>& aUpstreams,
   const Ticket& aTicket)
 {
+  std::vector<const UpstreamEntry*> live;
   std::vector<const UpstreamEntry*> usable;
   size_t start = 0;
   if (aUpstreams.size() > m_options.m_candidates) {
@@ -495,14 +499,17 @@
   size_t looked = std::min(aUpstreams.size(), 4 * m_options.m_candidates);
   for (size_t i = 0; i < looked; ++i) {
     const UpstreamEntry* entry = aUpstreams[(start + i) % aUpstreams.size()];
+    if (!UpstreamTable::TakesWork(aNow, *entry)) {
+      continue;
+    }
+    live.push_back(entry);
     if (!aTicket.m_excluded.contains(entry->m_row.m_id)) {
       usable.push_back(entry);
     }
   }
   if (usable.empty()) {
     // Every upstream failed it once; a second try beats none.
-    usable.assign(aUpstreams.begin(),
-                  aUpstreams.begin() + static_cast<ptrdiff_t>(looked));
+    usable = live;
   }
   std::stable_partition(
     usable.begin(), usable.end(), [&](const UpstreamEntry* aEntry) {
@@ -536,7 +543,7 @@
   std::vector<const UpstreamEntry*> entries;
   std::vector<PlacementView> views;
   Occupancy need = NeedOf(aTicket);
-  for (const UpstreamEntry* entry : Candidates(aUpstreams, aTicket)) {
+  for (const UpstreamEntry* entry : Candidates(aNow, aUpstreams, aTicket)) {
     if (HasRoom(aNow, *entry, aLane, aTicket, need, aUpstreams.size())) {
       entries.push_back(entry);
       views.push_back(ViewOf(aNow, *entry, aTicket));
@@ -661,6 +668,37 @@
   }
 }
 
+void Dispatcher::ListUpstreams(Instant aNow,
+                               const UpstreamTable& aTable,
+                               const Ticket& aSample,
+                               Lane& aLane)
+{
+  bool isFresh = aLane.m_tableVersion == aTable.Version() &&
+                 aNow < aLane.m_listedAt + kListPeriod;
+  if (isFresh) {
+    return;
+  }
+  aLane.m_tableVersion = aTable.Version();
+  aLane.m_listedAt = aNow;
+  aLane.m_upstreams.clear();
+  aLane.m_slots = 0;
+  std::vector<UpstreamId> peers;
+  for (const auto& [id, entry] : aTable.Rows()) {
+    const UpstreamRow& row = entry.m_row;
+    bool serves =
+      aSample.m_service.empty()
+        ? std::count(
+            row.m_models.begin(), row.m_models.end(), aSample.m_model) > 0
+        : row.m_service == aSample.m_service;
+    if (serves && UpstreamTable::TakesWork(aNow, entry)) {
+      aLane.m_upstreams.push_back(&entry);
+      aLane.m_slots += UsableSlots(aNow, entry);
+      peers.push_back(id);
+    }
+  }
+  m_health.Review(aNow, peers);
+}
+
 void Dispatcher::ServeLane(Instant aNow,
                            const UpstreamTable& aTable,
                            Lane& aLane,
@@ -677,27 +715,12 @@
     NoteDrain(aNow, aLane);
     return;
   }
-  std::vector<const UpstreamEntry*> upstreams;
-  std::vector<UpstreamId> peers;
-  double slots = 0;
-  for (const auto& [id, entry] : aTable.Rows()) {
-    const UpstreamRow& row = entry.m_row;
-    bool serves = sample->m_service.empty()
-                    ? std::count(row.m_models.begin(),
-                                 row.m_models.end(),
-                                 sample->m_model) > 0
-                    : row.m_service == sample->m_service;
-    if (serves && UpstreamTable::TakesWork(aNow, entry)) {
-      upstreams.push_back(&entry);
-      peers.push_back(id);
-      slots += UsableSlots(aNow, entry);
-    }
-  }
-  m_health.Review(aNow, peers);
+  ListUpstreams(aNow, aTable, *sample, aLane);
+  const std::vector<const UpstreamEntry*>& upstreams = aLane.m_upstreams;
   bool progress = !upstreams.empty();
   while (progress) {
     progress = false;
-    for (Rank rank : RankSequence(aLane, slots)) {
+    for (Rank rank : RankSequence(aLane, aLane.m_slots)) {
       if (ServeRank(aNow, upstreams, aLane, rank, aActions)) {
         progress = true;
         break;
