--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -685,11 +685,11 @@
   std::vector<UpstreamId> peers;
   for (const auto& [id, entry] : aTable.Rows()) {
     const UpstreamRow& row = entry.m_row;
-    bool serves =
-      aSample.m_service.empty()
-        ? std::count(
-            row.m_models.begin(), row.m_models.end(), aSample.m_model) > 0
-        : row.m_service == aSample.m_service;
+    bool serves = aSample.m_service.empty()
+                    ? std::count(row.m_models.begin(),
+                                 row.m_models.end(),
+                                 aSample.m_model) > 0
+                    : row.m_service == aSample.m_service;
     if (serves && UpstreamTable::TakesWork(aNow, entry)) {
       aLane.m_upstreams.push_back(&entry);
       aLane.m_slots += UsableSlots(aNow, entry);
--- a/tools/persimmontally-scale/main.cpp
+++ b/tools/persimmontally-scale/main.cpp
@@ -145,9 +145,8 @@
         PeerMessage message = std::get<MembershipTables>(send.m_message);
         std::string bytes = Encode(message);
         m_tableBytes += static_cast<double>(bytes.size());
-        to.ReceiveTables(m_now,
-                         aHost.Self().m_id,
-                         std::get<MembershipTables>(message));
+        to.ReceiveTables(
+          m_now, aHost.Self().m_id, std::get<MembershipTables>(message));
       }
       m_cpu += ProcessorSeconds() - before;
       Deliver(to);
@@ -169,8 +168,9 @@
 static void MeasureMembership()
 {
   std::printf("\n## Membership, steady state, %d s\n\n", FLAGS_seconds);
-  std::printf("| hosts | upstreams | datagram bytes/s sent by a host | table "
-              "bytes/s sent by a host | %% of a core |\n|---|---|---|---|---|\n");
+  std::printf(
+    "| hosts | upstreams | datagram bytes/s sent by a host | table "
+    "bytes/s sent by a host | %% of a core |\n|---|---|---|---|---|\n");
   for (size_t hosts : { 8U, 24U, 48U, 96U, 192U }) {
     MembershipRun(hosts, 0).Print();
   }
@@ -184,7 +184,8 @@
 {
   Ticket ticket;
   ticket.m_id = RequestId("r" + std::to_string(aNumber));
-  ticket.m_account = AccountId("account-" + std::to_string(aNumber % aAccounts));
+  ticket.m_account =
+    AccountId("account-" + std::to_string(aNumber % aAccounts));
   ticket.m_rank = aNumber % 4 == 0 ? Rank::Urgent : Rank::Routine;
   ticket.m_model = ModelId("default");
   ticket.m_promptTokens = 200;
@@ -225,8 +226,9 @@
     dispatcher.Enqueue(now, TicketOf(i, aAccounts, now));
     dispatcher.Tick(now, table);
     if (i >= 100) {
-      dispatcher.Complete(
-        now, RequestId("r" + std::to_string(i - 100)), DispatchOutcome::Finished);
+      dispatcher.Complete(now,
+                          RequestId("r" + std::to_string(i - 100)),
+                          DispatchOutcome::Finished);
     }
   }
   double spent = ProcessorSeconds() - before;
