--- a/include/persimmontally/Proxy/Gateway.h
+++ b/include/persimmontally/Proxy/Gateway.h
@@ -77,7 +77,8 @@
   {
     return m_placement.TakeSends();
   }
-  /// Sets what is called when there are messages to take.
+  /// Sets what is called when there are messages to take, here and at the
+  /// membership.
   void OnDispatchSends(std::function<void()> aAction)
   {
     m_onDispatchSends = std::move(aAction);
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -245,6 +245,7 @@
 
 void EntryHost::Impl::FlushDispatch()
 {
+  FlushMembership();
   for (auto& [host, batch] : m_gateway->TakeDispatchSends()) {
     const HostRow* row = m_membership.FindHost(host);
     if (row != nullptr) {
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -11,6 +11,8 @@
 static constexpr size_t kRenewalsPerMessage = 18;
 static constexpr size_t kPoisonPerMessage = 2;
 static constexpr size_t kMaxPoisonDeaths = 8;
+/// Hosts that news which cannot wait is sent to at once.
+static constexpr size_t kMaxUrgentTargets = 64;
 /// Tables are asked of one host no more often than this.
 static constexpr Duration kTablesAskPeriod = seconds(2);
 
@@ -137,7 +139,27 @@
 
 void Membership::ReportPoison(Instant aNow, const PoisonRow& aRow)
 {
+  PoisonRow before = m_poison[aRow.m_fingerprint];
   MergePoison(aNow, aRow);
+  const PoisonRow& after = m_poison[aRow.m_fingerprint];
+  if (after == before) {
+    return;
+  }
+  // A caller can send the request again at once, through any host, so this
+  // news does not wait for the next push.
+  std::vector<HostId> targets = AliveHosts(true);
+  for (const auto& [dataCentre, hosts] : AliveElsewhere()) {
+    targets.insert(targets.end(), hosts.begin(), hosts.end());
+  }
+  if (targets.size() > kMaxUrgentTargets) {
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    targets.resize(kMaxUrgentTargets);
+  }
+  for (const HostId& id : targets) {
+    GossipMessage message;
+    message.m_poison.push_back(after);
+    SendGossip(m_hosts.at(id).m_peer, std::move(message));
+  }
 }
 
 void Membership::SendShare(const HostId& aTo, const ShareMessage& aMessage)
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -531,6 +531,10 @@
     m_placement.Local().SetPoisonSuspects(
       PoisonSuspects(m_membership.Poison()));
   }
+  // The news must leave before the answers that the callbacks give.
+  if (aIsDead && m_onDispatchSends) {
+    m_onDispatchSends();
+  }
   for (auto& callback : check.m_callbacks) {
     callback(aIsDead);
   }
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -254,3 +254,18 @@
     CHECK(site.m_hosts[i]->Poison().at(9).m_deaths.size() == 2);
   }
 }
+
+TEST_CASE("news of poison reaches every host at once")
+{
+  Site site(8, 7);
+  site.m_lossRate = 0;
+  site.RunFor(seconds(5));
+  PoisonRow row;
+  row.m_fingerprint = 9;
+  row.m_deaths = { "engine" };
+  site.m_hosts[0]->ReportPoison(site.m_now, row);
+  site.RunFor(milliseconds(60));
+  for (size_t i = 0; i < 8; ++i) {
+    CHECK(site.m_hosts[i]->Poison().contains(9));
+  }
+}
