[Proxy] Refuse and end requests in one place; open listeners in one place

Cause: duplicates showed the two flows and the two listeners writing the same steps again, and refusals before a flow had no log line. Change: Gateway::Refuse and Gateway::EndFlow, OpenAcceptor. Refusals by plan limits and bad input are now logged as decisions too.

--- a/include/persimmontally/Proxy/Gateway.h
+++ b/include/persimmontally/Proxy/Gateway.h
@@ -96,7 +96,15 @@
   const PlanBook& Plans() const { return m_plans; }
   const GatewayOptions& Options() const { return m_options; }
   double ShareOf(const AccountId& aAccount) const;
-  void EndFlow(const RequestId& aId);
+  /// Answers with a refusal, writes its log line and counts it.
+  void Refuse(ResponseWriter& aWriter,
+              const Refusal& aRefusal,
+              const std::string& aCallerId,
+              const RequestId& aId);
+  /// Gives back what a request holds: its place or slot, and its concurrency.
+  void EndFlow(const RequestId& aId,
+               const AccountId& aAccount,
+               DispatchOutcome aOutcome);
   void Kick();
   /// Finds out whether an upstream that broke a connection has died; all that
   /// ask meanwhile get the same answer. A death puts the fingerprints under
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -97,4 +97,26 @@
   });
 }
 
+absl::Status OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor,
+                          const Endpoint& aListen,
+                          const char* aProtocol)
+{
+  using boost::asio::ip::tcp;
+  boost::system::error_code error;
+  auto endpoint = ToAsio<tcp>(aListen);
+  aAcceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    aAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return absl::UnavailableError(std::string(aProtocol) + " " +
+                                  ToString(aListen) + ": " + error.message());
+  }
+  return absl::OkStatus();
+}
+
 } // namespace persimmontally
--- a/lib/Net/FrameLink.cpp
+++ b/lib/Net/FrameLink.cpp
@@ -232,20 +232,9 @@
 
 absl::Status FrameLink::Open(const Endpoint& aListen, Receiver aReceiver)
 {
-  error_code error;
-  auto endpoint = ToAsio<tcp>(aListen);
-  auto& acceptor = m_impl->m_acceptor;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return absl::UnavailableError("tcp " + ToString(aListen) + ": " +
-                                  error.message());
+  absl::Status opened = OpenAcceptor(m_impl->m_acceptor, aListen, "tcp");
+  if (!opened.ok()) {
+    return opened;
   }
   m_impl->m_receiver = std::move(aReceiver);
   m_impl->Accept();
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -444,23 +444,13 @@
 
 absl::StatusOr<uint16_t> HttpServer::Listen(const Endpoint& aListen)
 {
-  error_code error;
-  auto endpoint = ToAsio<tcp>(aListen);
-  auto& acceptor = m_impl->m_acceptor;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return absl::UnavailableError("http " + ToString(aListen) + ": " +
-                                  error.message());
+  absl::Status opened = OpenAcceptor(m_impl->m_acceptor, aListen, "http");
+  if (!opened.ok()) {
+    return opened;
   }
   m_impl->Accept();
-  return acceptor.local_endpoint(error).port();
+  error_code ignored;
+  return m_impl->m_acceptor.local_endpoint(ignored).port();
 }
 
 void HttpServer::StopAccepting()
--- a/lib/Net/LoopContext.h
+++ b/lib/Net/LoopContext.h
@@ -4,6 +4,8 @@
 #include "persimmontally/Net/EventLoop.h"
 #include "persimmontally/Support/Settings.h"
 
+#include "absl/status/status.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +28,11 @@
            aEndpoint.m_port };
 }
 
+/// Opens, binds and listens. The error names the protocol and the address.
+absl::Status OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor,
+                          const Endpoint& aListen,
+                          const char* aProtocol);
+
 } // namespace persimmontally
 
 #endif
--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -444,17 +444,7 @@
 
 void CompletionFlow::Refuse(const Refusal& aRefusal)
 {
-  SendRefusal(*m_writer, aRefusal, m_callerId);
-  m_gateway.Decisions().Write(
-    m_callerId,
-    "refuse",
-    { { "id", m_id.Value() },
-      { "kind", std::string(LookUpError(aRefusal.m_kind).m_name) },
-      { "ran", std::string(ToString(aRefusal.m_ran)) },
-      { "reason", aRefusal.m_message } });
-  m_gateway.Counters().Add("refusals_total{kind=\"" +
-                           std::string(LookUpError(aRefusal.m_kind).m_name) +
-                           "\"}");
+  m_gateway.Refuse(*m_writer, aRefusal, m_callerId, m_id);
   Close(DispatchOutcome::Failed, "refused");
 }
 
@@ -536,10 +526,6 @@
   auto self = shared_from_this();
   m_timer.Cancel();
   Instant now = m_gateway.Loop().Now();
-  if (!m_gateway.Placement().Withdraw(now, m_id)) {
-    m_gateway.Placement().Complete(now, m_id, aOutcome);
-  }
-  m_gateway.Limits().Finish(m_account);
   if (m_call) {
     m_call->Cancel();
     m_call.reset();
@@ -552,7 +538,7 @@
                                 { "tokens", m_cursor },
                                 { "attempts", m_attempts },
                                 { "ms", ToMilliseconds(now - m_arrivedAt) } });
-  m_gateway.EndFlow(m_id);
+  m_gateway.EndFlow(m_id, m_account, aOutcome);
 }
 
 } // namespace persimmontally
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -144,9 +144,7 @@
   RequestId id = NewRequestId();
   std::string callerId = CallerId(aRequest, id);
   auto refuse = [&](const Refusal& aRefusal) {
-    m_metrics.Add("refusals_total{kind=\"" +
-                  std::string(LookUpError(aRefusal.m_kind).m_name) + "\"}");
-    SendRefusal(*aWriter, aRefusal, callerId);
+    Refuse(*aWriter, aRefusal, callerId, id);
   };
   if (aRequest.m_method != "POST") {
     refuse(RefusalBuilder(ErrorKind::MethodNotAllowed, "use POST").Build());
@@ -202,9 +200,7 @@
   RequestId id = NewRequestId();
   std::string callerId = CallerId(aRequest, id);
   auto refuse = [&](ErrorKind aKind, const std::string& aMessage) {
-    m_metrics.Add("refusals_total{kind=\"" +
-                  std::string(LookUpError(aKind).m_name) + "\"}");
-    SendRefusal(*aWriter, RefusalBuilder(aKind, aMessage).Build(), callerId);
+    Refuse(*aWriter, RefusalBuilder(aKind, aMessage).Build(), callerId, id);
   };
   if (!m_takesWork) {
     refuse(ErrorKind::ShuttingDown, "the host shuts down");
@@ -256,9 +252,7 @@
   auto limited = m_limits.Admit(
     m_loop.Now(), account->m_id, *plan, ShareOf(account->m_id), 0);
   if (limited) {
-    m_metrics.Add("refusals_total{kind=\"" +
-                  std::string(LookUpError(limited->m_kind).m_name) + "\"}");
-    SendRefusal(*aWriter, *limited, callerId);
+    Refuse(*aWriter, *limited, callerId, id);
     return;
   }
   call.m_request = aRequest;
@@ -273,8 +267,31 @@
   flow->Start();
 }
 
-void Gateway::EndFlow(const RequestId& aId)
+void Gateway::Refuse(ResponseWriter& aWriter,
+                     const Refusal& aRefusal,
+                     const std::string& aCallerId,
+                     const RequestId& aId)
 {
+  std::string kind(LookUpError(aRefusal.m_kind).m_name);
+  SendRefusal(aWriter, aRefusal, aCallerId);
+  m_decisions.Write(aCallerId,
+                    "refuse",
+                    { { "id", aId.Value() },
+                      { "kind", kind },
+                      { "ran", std::string(ToString(aRefusal.m_ran)) },
+                      { "reason", aRefusal.m_message } });
+  m_metrics.Add("refusals_total{kind=\"" + kind + "\"}");
+}
+
+void Gateway::EndFlow(const RequestId& aId,
+                      const AccountId& aAccount,
+                      DispatchOutcome aOutcome)
+{
+  Instant now = m_loop.Now();
+  if (!m_placement.Withdraw(now, aId)) {
+    m_placement.Complete(now, aId, aOutcome);
+  }
+  m_limits.Finish(aAccount);
   auto at = m_flows.find(aId);
   if (at == m_flows.end()) {
     return;
--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -392,16 +392,7 @@
 
 void ServiceFlow::Refuse(const Refusal& aRefusal)
 {
-  std::string kind(LookUpError(aRefusal.m_kind).m_name);
-  SendRefusal(*m_writer, aRefusal, m_callerId);
-  m_gateway.Decisions().Write(
-    m_callerId,
-    "refuse",
-    { { "id", m_id.Value() },
-      { "kind", kind },
-      { "ran", std::string(ToString(aRefusal.m_ran)) },
-      { "reason", aRefusal.m_message } });
-  m_gateway.Counters().Add("refusals_total{kind=\"" + kind + "\"}");
+  m_gateway.Refuse(*m_writer, aRefusal, m_callerId, m_id);
   Close(DispatchOutcome::Failed, "refused");
 }
 
@@ -414,10 +405,6 @@
   auto self = shared_from_this();
   m_timer.Cancel();
   Instant now = m_gateway.Loop().Now();
-  if (!m_gateway.Placement().Withdraw(now, m_id)) {
-    m_gateway.Placement().Complete(now, m_id, aOutcome);
-  }
-  m_gateway.Limits().Finish(m_account);
   if (m_httpCall) {
     m_httpCall->Cancel();
     m_httpCall.reset();
@@ -428,7 +415,7 @@
                                 { "result", aResult },
                                 { "attempts", m_attempts },
                                 { "ms", ToMilliseconds(now - m_arrivedAt) } });
-  m_gateway.EndFlow(m_id);
+  m_gateway.EndFlow(m_id, m_account, aOutcome);
 }
 
 } // namespace persimmontally
