[Routing] Write each placement and membership step once; drop dead code

Cause: a read of the whole change found the refusal of a ticket, the lane of a request and the list of all other live hosts written two or three times, and two functions that nothing calls. Change: RefusalRow, Dispatcher::KeyOf and Membership::AliveOthers serve all of them; Dispatcher::UpstreamDied and FairQueue::Remove are gone. Behaviour and tests stay.

--- a/include/persimmontally/Admission/FairQueue.h
+++ b/include/persimmontally/Admission/FairQueue.h
@@ -21,7 +21,6 @@
 {
 public:
   void Push(Ticket aTicket);
-  bool Remove(const RequestId& aId);
 
   bool Empty() const { return m_ready.empty(); }
   size_t Size() const { return m_size; }
--- a/include/persimmontally/Membership/Membership.h
+++ b/include/persimmontally/Membership/Membership.h
@@ -140,6 +140,8 @@
   int RetransmitCount() const;
   std::vector<HostId> AliveHosts(bool aOwnDataCentre) const;
   std::map<DataCentreId, std::vector<HostId>> AliveElsewhere() const;
+  /// Every other live host, those of the own data centre first.
+  std::vector<HostId> AliveOthers() const;
   HostId PickRandom(const std::vector<HostId>& aHosts);
 
   HostRow m_self;
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -91,8 +91,13 @@
 class Dispatcher
 {
 public:
+  /// Names the model or service whose upstreams a request competes for.
+  using LaneKey = std::string;
+
   Dispatcher(DispatchOptions aOptions, uint64_t aSeed);
 
+  static LaneKey KeyOf(const Ticket& aTicket);
+
   /// Queues a ticket, or refuses it at once.
   std::optional<Refusal> Enqueue(Instant aNow, Ticket aTicket);
   /// Takes over a request that another dispatcher placed.
@@ -105,8 +110,6 @@
   /// Tokens that a placed request has produced so far.
   void Progress(Instant aNow, const RequestId& aId, uint32_t aTokens);
   void Complete(Instant aNow, const RequestId& aId, DispatchOutcome aOutcome);
-  /// Forgets what runs on an upstream that died, and returns it.
-  std::vector<Ticket> UpstreamDied(Instant aNow, const UpstreamId& aId);
 
   std::vector<DispatchAction> Tick(Instant aNow, const UpstreamTable& aTable);
 
@@ -180,11 +183,8 @@
     double m_urgentPeak = 0;
     Instant m_peakAt;
   };
-  using LaneKey = std::string;
-
   bool MakeQueueRoom(FairQueue& aQueue, const Ticket& aTicket);
   void ForgetQueued(const Ticket& aTicket);
-  static LaneKey KeyOf(const Ticket& aTicket);
   FairQueue& QueueOf(Lane& aLane, Rank aRank);
   void ListUpstreams(Instant aNow,
                      const UpstreamTable& aTable,
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -80,11 +80,6 @@
   return ticket;
 }
 
-bool FairQueue::Remove(const RequestId& aId)
-{
-  return Take(aId).has_value();
-}
-
 const AccountId& FairQueue::LongestFlow() const
 {
   assert(!Empty() && "the queue holds a ticket");
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -147,10 +147,7 @@
   }
   // A caller can send the request again at once, through any host, so this
   // news does not wait for the next push.
-  std::vector<HostId> targets = AliveHosts(true);
-  for (const auto& [dataCentre, hosts] : AliveElsewhere()) {
-    targets.insert(targets.end(), hosts.begin(), hosts.end());
-  }
+  std::vector<HostId> targets = AliveOthers();
   if (targets.size() > kMaxUrgentTargets) {
     std::shuffle(targets.begin(), targets.end(), m_random);
     targets.resize(kMaxUrgentTargets);
@@ -360,10 +357,7 @@
   if (m_probe && !m_probe->m_indirect &&
       aNow >= m_probe->m_sentAt + m_options.m_acknowledgeTimeout) {
     m_probe->m_indirect = true;
-    std::vector<HostId> helpers = AliveHosts(true);
-    for (const auto& [dataCentre, hosts] : AliveElsewhere()) {
-      helpers.insert(helpers.end(), hosts.begin(), hosts.end());
-    }
+    std::vector<HostId> helpers = AliveOthers();
     std::erase(helpers, m_probe->m_target);
     std::shuffle(helpers.begin(), helpers.end(), m_random);
     size_t count = std::min<size_t>(helpers.size(), m_options.m_indirectProbes);
@@ -476,10 +470,7 @@
 
 void Membership::ExchangeTables(Instant)
 {
-  std::vector<HostId> hosts = AliveHosts(true);
-  for (const auto& [dataCentre, others] : AliveElsewhere()) {
-    hosts.insert(hosts.end(), others.begin(), others.end());
-  }
+  std::vector<HostId> hosts = AliveOthers();
   if (!hosts.empty()) {
     SendTables(m_hosts.at(PickRandom(hosts)).m_peer, true);
   }
@@ -656,6 +647,15 @@
   return hosts;
 }
 
+std::vector<HostId> Membership::AliveOthers() const
+{
+  std::vector<HostId> hosts = AliveHosts(true);
+  for (const auto& [dataCentre, others] : AliveElsewhere()) {
+    hosts.insert(hosts.end(), others.begin(), others.end());
+  }
+  return hosts;
+}
+
 HostId Membership::PickRandom(const std::vector<HostId>& aHosts)
 {
   std::uniform_int_distribution<size_t> pick(0, aHosts.size() - 1);
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -181,24 +181,6 @@
   Release(aId);
 }
 
-std::vector<Ticket> Dispatcher::UpstreamDied(Instant aNow,
-                                             const UpstreamId& aId)
-{
-  std::vector<Ticket> tickets;
-  auto slot = m_slots.find(aId);
-  if (slot != m_slots.end()) {
-    std::set<RequestId> requests = slot->second.m_requests;
-    for (const RequestId& request : requests) {
-      tickets.push_back(m_running.at(request).m_ticket);
-      Complete(aNow, request, DispatchOutcome::Failed);
-    }
-    m_slots.erase(aId);
-  }
-  m_prefixes.Forget(aId);
-  m_health.Forget(aId);
-  return tickets;
-}
-
 size_t Dispatcher::Queued(Rank aRank) const
 {
   size_t count = 0;
--- a/lib/Routing/SharedDispatch.cpp
+++ b/lib/Routing/SharedDispatch.cpp
@@ -15,14 +15,23 @@
 {
 }
 
+static GrantRow RefusalRow(const std::string& aKey, const Refusal& aRefusal)
+{
+  GrantRow row;
+  row.m_key = aKey;
+  row.m_refusal = aRefusal.m_kind;
+  row.m_message = aRefusal.m_message;
+  row.m_retryAfterMs =
+    static_cast<uint32_t>(ToMilliseconds(aRefusal.m_retryAfter));
+  return row;
+}
+
 // Owners.
 
 /// Rendezvous hashing: a host that joins or leaves moves only its own part.
 HostId SharedDispatch::OwnerOf(const Ticket& aTicket) const
 {
-  std::string lane = aTicket.m_service.empty()
-                       ? "model/" + aTicket.m_model.Value()
-                       : "service/" + aTicket.m_service;
+  std::string lane = Dispatcher::KeyOf(aTicket);
   HostId owner = m_self;
   uint64_t best = 0;
   for (const HostId& host : m_hosts) {
@@ -282,11 +291,7 @@
     row.m_score = grant->m_score;
     row.m_candidates = grant->m_candidates;
   } else {
-    const Refusal& refusal = std::get<DispatchRefusal>(aAction).m_refusal;
-    row.m_refusal = refusal.m_kind;
-    row.m_message = refusal.m_message;
-    row.m_retryAfterMs =
-      static_cast<uint32_t>(ToMilliseconds(refusal.m_retryAfter));
+    row = RefusalRow(key, std::get<DispatchRefusal>(aAction).m_refusal);
   }
   auto guest = m_guests.find(key);
   if (guest == m_guests.end()) {
@@ -378,13 +383,7 @@
     m_guests[aRow.m_key] = { aFrom, aNow, std::nullopt };
     return;
   }
-  GrantRow row;
-  row.m_key = aRow.m_key;
-  row.m_refusal = refusal->m_kind;
-  row.m_message = refusal->m_message;
-  row.m_retryAfterMs =
-    static_cast<uint32_t>(ToMilliseconds(refusal->m_retryAfter));
-  BatchTo(aFrom).m_grants.push_back(std::move(row));
+  BatchTo(aFrom).m_grants.push_back(RefusalRow(aRow.m_key, *refusal));
 }
 
 void SharedDispatch::ReceiveEnd(Instant aNow,
