--- a/include/persimmontally/Admission/MemoryForecast.h
+++ b/include/persimmontally/Admission/MemoryForecast.h
@@ -22,6 +22,8 @@
   uint32_t m_promptTokens = 0;
   uint32_t m_tokensSoFar = 0;
   uint32_t m_maxTokens = 0;
+  /// The caller's estimate of the output; 0 without one.
+  uint32_t m_expectedTokens = 0;
   /// Known only to the oracle baseline; 0 otherwise.
   uint32_t m_trueTokens = 0;
 };
@@ -51,12 +53,24 @@
   /// closer and leaves memory unused; docs/RESULTS.md compares values.
   double m_deviations = 0.5;
 };
+/// Takes the caller's estimate as the median of a lognormal length, and the
+/// distribution of the length where there is no estimate. For callers whose
+/// estimates are right in the middle and often far off.
+struct HintedForecast
+{
+  /// Standard deviation of the logarithm of length over estimate.
+  double m_spread = 0.6;
+  double m_deviations = 0.5;
+};
 /// Knows the true length; a baseline for experiments only.
 struct OracleForecast
 {};
 
-using ForecastPolicy =
-  std::variant<NoForecast, MeanForecast, ConditionalForecast, OracleForecast>;
+using ForecastPolicy = std::variant<NoForecast,
+                                    MeanForecast,
+                                    ConditionalForecast,
+                                    HintedForecast,
+                                    OracleForecast>;
 
 std::string_view ToString(const ForecastPolicy& aPolicy);
 
--- a/include/persimmontally/Admission/Ticket.h
+++ b/include/persimmontally/Admission/Ticket.h
@@ -24,6 +24,8 @@
   std::string m_service;
   uint32_t m_promptTokens = 0;
   uint32_t m_maxTokens = 0;
+  /// The caller's estimate of the output; 0 without one.
+  uint32_t m_expectedTokens = 0;
   /// Known only in experiments, for the oracle baseline.
   uint32_t m_trueTokens = 0;
   /// Hashes of the prompt's leading blocks, each over all before it.
--- a/include/persimmontally/Membership/Membership.h
+++ b/include/persimmontally/Membership/Membership.h
@@ -30,6 +30,7 @@
   /// A dead or departed host is forgotten after this.
   Duration m_forgetHostAfter = std::chrono::hours(1);
   Duration m_poisonLifetime = std::chrono::hours(1);
+  Duration m_upstreamLease = UpstreamTable::kLeaseDuration;
   int m_indirectProbes = 3;
   /// Hosts that each push of changed rows goes to in the own data centre.
   int m_localFanout = 2;
@@ -78,9 +79,12 @@
 
   /// Takes an upstream's own announcement, which this host then spreads.
   UpstreamMerge Announce(Instant aNow, const UpstreamRow& aRow);
+  /// Takes an upstream's word that it has ended; false if it is not known.
+  bool Withdraw(Instant aNow, const UpstreamId& aId);
   /// Spreads a poison row, merged with what is known of the fingerprint.
   void ReportPoison(Instant aNow, const PoisonRow& aRow);
   void SendShare(const HostId& aTo, const ShareMessage& aMessage);
+  void SetSeeds(std::vector<Endpoint> aSeeds) { m_seeds = std::move(aSeeds); }
   void SetPlanIndex(uint64_t aIndex);
   void SetDisk(const DiskId& aDisk, const std::string& aGroup);
   /// Tells the others that this host departs on purpose.
@@ -124,6 +128,7 @@
   void StoreHost(Instant aNow, const HostRow& aRow);
   void SetHostState(Instant aNow, const HostId& aId, HostState aState);
 
+  void SendUpstreamNews(const UpstreamId& aId);
   void RunProbe(Instant aNow);
   void StartProbe(Instant aNow);
   void AdvanceSuspicions(Instant aNow);
--- a/include/persimmontally/Membership/UpstreamTable.h
+++ b/include/persimmontally/Membership/UpstreamTable.h
@@ -32,17 +32,25 @@
   Changed,
 };
 
-/// Upstreams by id. A row counts for `kLeaseDuration` after its announcement;
+/// Upstreams by id. A row counts for the length of a lease after its announcement;
 /// `Leaving` and `Gone` win over `Serving` within one incarnation.
 class UpstreamTable
 {
 public:
   static constexpr Duration kLeaseDuration = seconds(3);
+
+  explicit UpstreamTable(Duration aLease = kLeaseDuration)
+    : m_lease(aLease)
+  {
+  }
+
   /// How long an ended row is remembered, so that late copies of older
   /// announcements do not bring it back.
   static constexpr Duration kForgetAfter = seconds(120);
 
   UpstreamMerge Merge(Instant aNow, const UpstreamRow& aRow);
+  /// States that an upstream has ended; false if it is not known.
+  bool MarkGone(Instant aNow, const UpstreamId& aId);
   /// False if the upstream or its incarnation is not known.
   bool Renew(Instant aNow, const UpstreamRenewal& aRenewal);
   void ForgetOld(Instant aNow);
@@ -58,6 +66,7 @@
   static bool IsPresent(Instant aNow, const UpstreamEntry& aEntry);
 
 private:
+  Duration m_lease;
   std::map<UpstreamId, UpstreamEntry> m_rows;
   uint64_t m_version = 1;
 };
--- a/include/persimmontally/Net/EventLoop.h
+++ b/include/persimmontally/Net/EventLoop.h
@@ -60,6 +60,8 @@
   [[nodiscard]] Timer RunEvery(Duration aPeriod, std::function<void()> aAction);
   /// Calls the action on SIGTERM and SIGINT.
   void OnTerminate(std::function<void()> aAction);
+  /// Calls the action on each SIGHUP.
+  void OnReload(std::function<void()> aAction);
 
   LoopContext& Context() { return *m_context; }
 
--- a/include/persimmontally/Net/HttpClient.h
+++ b/include/persimmontally/Net/HttpClient.h
@@ -43,6 +43,37 @@
   virtual void Resume() = 0;
 };
 
+struct IdleConnections;
+
+/// Connections that servers keep open between calls.
+class HttpConnectionPool
+{
+public:
+  /// Idle connections kept for one server.
+  static constexpr size_t kMaxIdlePerServer = 8;
+  /// A connection that was idle for longer is not used again: servers may drop
+  /// idle connections without notice.
+  static constexpr Duration kMaxIdle = seconds(4);
+
+  explicit HttpConnectionPool(EventLoop& aLoop);
+  ~HttpConnectionPool();
+
+  /// Starts a request on a kept connection, or on a new one.
+  std::shared_ptr<HttpCall> Start(const Endpoint& aServer,
+                                  HttpRequest aRequest,
+                                  HttpCallTimeouts aTimeouts,
+                                  HttpCallEvents aEvents);
+  /// Closes what has been idle for too long.
+  void Tick();
+  /// Calls that a kept connection served, and that needed a new one.
+  uint64_t Reused() const;
+  uint64_t Opened() const;
+
+private:
+  EventLoop& m_loop;
+  std::shared_ptr<IdleConnections> m_idle;
+};
+
 /// Starts a request on a connection of its own.
 std::shared_ptr<HttpCall> StartHttpCall(EventLoop& aLoop,
                                         const Endpoint& aServer,
--- a/include/persimmontally/Net/HttpServer.h
+++ b/include/persimmontally/Net/HttpServer.h
@@ -42,6 +42,8 @@
   size_t m_maxHeaderBytes = 16384;
   size_t m_maxBodyBytes = 1 << 20;
   Duration m_headerTimeout = seconds(10);
+  /// Longest time that a kept connection may wait for its next request.
+  Duration m_idleTimeout = seconds(60);
   /// Time for one write to make progress before the caller is dropped.
   Duration m_writeStallTimeout = seconds(30);
 };
@@ -58,6 +60,10 @@
 
   /// Listens and returns the port, which the system chooses when 0 is asked.
   absl::StatusOr<uint16_t> Listen(const Endpoint& aListen);
+  /// Applies to what is read from now on.
+  void SetLimits(const HttpLimits& aLimits);
+  /// Closes each connection after its present answer, and says so in it.
+  void StopKeepingConnections();
   /// Takes no further connections; open ones go on.
   void StopAccepting();
   size_t OpenConnections() const;
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -113,6 +113,12 @@
 
   std::vector<DispatchAction> Tick(Instant aNow, const UpstreamTable& aTable);
 
+  /// Upstream with room for a generation that runs elsewhere and has to move;
+  /// empty if there is none.
+  UpstreamId PickTarget(Instant aNow,
+                        const UpstreamTable& aTable,
+                        const Ticket& aTicket);
+
   void SetRoutineFloor(double aFloor)
   {
     m_options.m_ranks.m_routineFloor = aFloor;
--- a/include/persimmontally/State/StateMachine.h
+++ b/include/persimmontally/State/StateMachine.h
@@ -35,6 +35,7 @@
   {
     return aKind == ListKind::Plans ? m_plans : m_accounts;
   }
+  const ListVersion& Catalog() const { return m_catalog; }
   const std::map<std::string, OrderRow>& Orders() const { return m_orders; }
   const std::map<std::string, LeaseRow>& Leases() const { return m_leases; }
   const std::map<std::string, ListChange>& Changes() const { return m_changes; }
@@ -46,6 +47,8 @@
   CommandResult ApplyCommand(uint64_t aIndex, const StartOrder& aCommand);
   CommandResult ApplyCommand(uint64_t aIndex, const EndOrder& aCommand);
   CommandResult ApplyCommand(uint64_t aIndex, const TakeLease& aCommand);
+  CommandResult ApplyCommand(uint64_t aIndex, const PutCatalog& aCommand);
+  CommandResult ApplyCommand(uint64_t aIndex, const ReadCatalog& aCommand);
   void ForgetOld();
 
   Duration m_retention;
@@ -53,6 +56,7 @@
   uint64_t m_planIndex = 0;
   ListVersion m_plans;
   ListVersion m_accounts;
+  ListVersion m_catalog;
   std::map<std::string, ListChange> m_changes;
   std::map<std::string, OrderRow> m_orders;
   std::map<std::string, LeaseRow> m_leases;
--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -5,6 +5,7 @@
 #include "persimmontally/State/RaftNode.h"
 #include "persimmontally/State/StateMachine.h"
 #include "persimmontally/State/VoterRepair.h"
+#include "persimmontally/Support/Settings.h"
 #include "persimmontally/Wire/Codec.h"
 
 #include <functional>
@@ -21,6 +22,9 @@
 {
   HostId m_host;
   std::vector<HostId> m_bootstrapHosts;
+  /// Instead of their names, the peer endpoints of the hosts that found the
+  /// group.
+  std::vector<Endpoint> m_bootstrapPeers;
   size_t m_voters = 3;
   Duration m_replaceVoterAfter = seconds(30);
   Duration m_orderRetention = std::chrono::hours(24);
@@ -29,6 +33,9 @@
   Duration m_proposalTimeout = seconds(5);
   /// Entries in the log before a snapshot replaces them.
   size_t m_compactAfter = 2000;
+  /// Bytes of applied commands before a snapshot replaces them; keeps the log
+  /// far below the smallest disk that is planned for (128 MB).
+  size_t m_compactAfterBytes = size_t(8) << 20;
   RaftOptions m_raft;
 };
 
@@ -121,7 +128,9 @@
   absl::Status Persist(const RaftReady& aReady);
   void SendRaft(std::vector<RaftMessage> aMessages);
   void StartMember(RaftRecovery aRecovery);
+  std::vector<HostId> BootstrapHosts() const;
   void TryBootstrap(Instant aNow);
+  void PushLists();
   void RunRepair(Instant aNow);
   void ResendProposals(Instant aNow);
   void SendProposal(Instant aNow, const std::string& aId, Pending& aPending);
@@ -146,6 +155,8 @@
   std::unique_ptr<RaftNode> m_raft;
   StateMachine m_machine;
   uint64_t m_appliedIndex = 0;
+  /// Bytes of commands applied since the last snapshot.
+  size_t m_appliedBytes = 0;
   PlanState m_plans;
   std::vector<StatePeer> m_peers;
   HostId m_leaderHint;
--- a/include/persimmontally/Support/Settings.h
+++ b/include/persimmontally/Support/Settings.h
@@ -39,14 +39,24 @@
   HostId m_host;
   DataCentreId m_dataCentre;
   RegionId m_region;
+  /// Port 0 where a listener is not set.
   Endpoint m_httpListen;
   Endpoint m_peerListen;
+  /// Callers on the routes of the catalog, and the balancer's question whether
+  /// to send them here.
+  Endpoint m_callersListen;
+  Endpoint m_readinessListen;
+  /// Upstreams and operators of routed traffic.
+  Endpoint m_controlListen;
+  Endpoint m_metricsListen;
   std::vector<Endpoint> m_seeds;
 
   /// Empty on hosts without a disk.
   std::string m_dataDir;
   /// Names of the hosts whose disks form the first replicated group.
   std::vector<HostId> m_bootstrapHosts;
+  /// Whether the hosts of the seeds found the first replicated group.
+  bool m_foundGroup = false;
   int m_voters = 3;
   Duration m_replaceVoterAfter{ 0 };
   Duration m_orderRetention{ 0 };
@@ -69,6 +79,13 @@
   bool operator==(const Settings&) const = default;
 };
 
+/// Whether the host serves routed traffic, and not the product's own API.
+inline bool IsRoutedHost(const Settings& aSettings)
+{
+  return aSettings.m_callersListen.m_port != 0 ||
+         aSettings.m_controlListen.m_port != 0;
+}
+
 /// One row of the table that checks a settings file; the reference page is
 /// printed from the same rows.
 struct SettingRow
--- a/include/persimmontally/Wire/Codec.h
+++ b/include/persimmontally/Wire/Codec.h
@@ -4,6 +4,7 @@
 #include "persimmontally/Support/Ids.h"
 #include "persimmontally/Wire/DispatchMessage.h"
 #include "persimmontally/Wire/GossipMessage.h"
+#include "persimmontally/Wire/LedgerMessage.h"
 #include "persimmontally/Wire/RaftMessage.h"
 #include "persimmontally/Wire/StateMessage.h"
 
@@ -22,7 +23,8 @@
                                  ProposeReply,
                                  PlanPull,
                                  PlanState,
-                                 DispatchBatch>;
+                                 DispatchBatch,
+                                 LedgerSnapshot>;
 
 /// Encodes a value; the layout is cereal's binary one, little-endian.
 /// Instantiated for the messages of this folder only.
--- a/include/persimmontally/Wire/HostRow.h
+++ b/include/persimmontally/Wire/HostRow.h
@@ -35,6 +35,8 @@
   std::string m_group;
   /// Log index of the newest plan lists in force on the host.
   uint64_t m_planIndex = 0;
+  /// Whether it takes callers' requests and so places work on upstreams.
+  bool m_isEntry = true;
 
   bool operator==(const HostRow&) const = default;
 
@@ -49,7 +51,8 @@
              m_state,
              m_disk,
              m_group,
-             m_planIndex);
+             m_planIndex,
+             m_isEntry);
   }
 };
 
--- a/include/persimmontally/Wire/StateMessage.h
+++ b/include/persimmontally/Wire/StateMessage.h
@@ -120,7 +120,40 @@
   }
 };
 
-using Command = std::variant<PutList, StartOrder, EndOrder, TakeLease>;
+/// Replaces the catalog if the version is higher than the one in force.
+struct PutCatalog
+{
+  uint64_t m_version = 0;
+  /// As operators sent it; checked before it is proposed.
+  std::string m_document;
+
+  bool operator==(const PutCatalog&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_version, m_document);
+  }
+};
+
+/// Changes nothing. Its result tells which catalog was in force after
+/// everything that was accepted before it.
+struct ReadCatalog
+{
+  bool operator==(const ReadCatalog&) const = default;
+
+  template<class Archive>
+  void serialize(Archive&)
+  {
+  }
+};
+
+using Command = std::variant<PutList,
+                             StartOrder,
+                             EndOrder,
+                             TakeLease,
+                             PutCatalog,
+                             ReadCatalog>;
 
 enum class CommandStatus : uint8_t
 {
@@ -141,7 +174,7 @@
 {
   CommandStatus m_status = CommandStatus::Undecided;
   std::string m_message;
-  /// Version of the list, renewal counter of the lease.
+  /// Version of the list or catalog, renewal counter of the lease.
   uint64_t m_version = 0;
   /// Fencing number of the lease.
   uint64_t m_fencing = 0;
@@ -208,20 +241,22 @@
   }
 };
 
-/// Both lists as accepted at one log index.
+/// Both lists and the catalog as accepted at one log index.
 struct PlanState
 {
   std::string m_group;
   uint64_t m_index = 0;
   ListVersion m_plans;
   ListVersion m_accounts;
+  /// Catalog of routed traffic, in the operators' own format.
+  ListVersion m_catalog;
 
   bool operator==(const PlanState&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_group, m_index, m_plans, m_accounts);
+    aArchive(m_group, m_index, m_plans, m_accounts, m_catalog);
   }
 };
 
@@ -312,6 +347,7 @@
   uint64_t m_planIndex = 0;
   ListVersion m_plans;
   ListVersion m_accounts;
+  ListVersion m_catalog;
   std::vector<ListChange> m_changes;
   std::vector<OrderRow> m_orders;
   std::vector<LeaseRow> m_leases;
@@ -321,7 +357,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_clockMs, m_planIndex, m_plans, m_accounts);
+    aArchive(m_clockMs, m_planIndex, m_plans, m_accounts, m_catalog);
     aArchive(m_changes, m_orders, m_leases);
   }
 };
--- a/lib/Admission/MemoryForecast.cpp
+++ b/lib/Admission/MemoryForecast.cpp
@@ -37,6 +37,25 @@
                                   m_size.m_maxTokens);
   }
 
+  double operator()(const HintedForecast& aPolicy) const
+  {
+    if (m_size.m_expectedTokens == 0) {
+      return (*this)(ConditionalForecast());
+    }
+    if (m_steps == 0) {
+      return 1;
+    }
+    double soFar = m_size.m_tokensSoFar;
+    if (m_size.m_maxTokens != 0 && soFar + m_steps > m_size.m_maxTokens) {
+      return 0;
+    }
+    auto chanceAbove = [&](double aTokens) {
+      double ratio = std::max(aTokens, 1.0) / m_size.m_expectedTokens;
+      return 0.5 * std::erfc(std::log(ratio) / (aPolicy.m_spread * M_SQRT2));
+    };
+    return chanceAbove(soFar + m_steps) / std::max(chanceAbove(soFar), 1e-9);
+  }
+
   double operator()(const OracleForecast&) const
   {
     return m_size.m_tokensSoFar + m_steps <= m_size.m_trueTokens ? 1 : 0;
@@ -55,6 +74,10 @@
     {
       return "conditional";
     }
+    std::string_view operator()(const HintedForecast&) const
+    {
+      return "hinted";
+    }
     std::string_view operator()(const OracleForecast&) const
     {
       return "oracle";
@@ -100,8 +123,13 @@
 
 double ForecastPeak(const ForecastPolicy& aPolicy, const Occupancy& aSum)
 {
-  const auto* conditional = std::get_if<ConditionalForecast>(&aPolicy);
-  return aSum.Peak(conditional != nullptr ? conditional->m_deviations : 0);
+  double deviations = 0;
+  if (const auto* conditional = std::get_if<ConditionalForecast>(&aPolicy)) {
+    deviations = conditional->m_deviations;
+  } else if (const auto* hinted = std::get_if<HintedForecast>(&aPolicy)) {
+    deviations = hinted->m_deviations;
+  }
+  return aSum.Peak(deviations);
 }
 
 } // namespace persimmontally
--- /dev/null
+++ b/lib/Daemon/HostCore.cpp
@@ -0,0 +1,276 @@
+#include "HostCore.h"
+
+#include "persimmontally/Support/Crypto.h"
+#include "persimmontally/Support/Log.h"
+
+#include <chrono>
+
+namespace persimmontally {
+
+/// Period of membership and replicated state.
+static constexpr Duration kControlTick = milliseconds(20);
+/// Bytes of UDP and IP headers, counted with the control traffic.
+static constexpr uint64_t kDatagramOverhead = 28;
+
+static uint64_t WallClockMs()
+{
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+static HostRow SelfRow(const Settings& aSettings)
+{
+  HostRow row;
+  row.m_id = aSettings.m_host;
+  row.m_dataCentre = aSettings.m_dataCentre;
+  row.m_region = aSettings.m_region;
+  row.m_peer = aSettings.m_peerListen;
+  row.m_isEntry =
+    !IsRoutedHost(aSettings) || aSettings.m_callersListen.m_port != 0;
+  // Only a first guess: the time of day may have been set back since an
+  // earlier start. A host that hears a later incarnation of itself goes beyond
+  // it.
+  row.m_incarnation = WallClockMs();
+  return row;
+}
+
+static StateOptions MakeStateOptions(const Settings& aSettings)
+{
+  StateOptions options;
+  options.m_host = aSettings.m_host;
+  options.m_bootstrapHosts = aSettings.m_bootstrapHosts;
+  options.m_voters = static_cast<size_t>(aSettings.m_voters);
+  options.m_replaceVoterAfter = aSettings.m_replaceVoterAfter;
+  options.m_orderRetention = aSettings.m_orderRetention;
+  if (aSettings.m_foundGroup && !aSettings.m_dataDir.empty()) {
+    options.m_bootstrapPeers = aSettings.m_seeds;
+  }
+  return options;
+}
+
+HostCore::HostCore(EventLoop& aLoop,
+                   Settings aSettings,
+                   MembershipOptions aOptions)
+  : m_loop(aLoop)
+  , m_settings(std::move(aSettings))
+  , m_udp(aLoop)
+  , m_link(aLoop)
+  , m_membership(SelfRow(m_settings),
+                 m_settings.m_seeds,
+                 aOptions,
+                 RandomSeed())
+{
+}
+
+absl::Status HostCore::OpenState()
+{
+  std::unique_ptr<LogStore> store;
+  if (!m_settings.m_dataDir.empty()) {
+    auto opened = OpenFileLogStore(m_settings.m_dataDir);
+    if (!opened.ok()) {
+      return opened.status();
+    }
+    store = *std::move(opened);
+  }
+  m_state = std::make_unique<StateService>(
+    MakeStateOptions(m_settings), std::move(store), RandomSeed());
+  m_membership.SetDisk(m_state->Disk(), m_state->Group());
+  return absl::OkStatus();
+}
+
+absl::Status HostCore::Start(PeerHandler aHandler)
+{
+  m_onMessage = std::move(aHandler);
+  absl::Status opened = m_udp.Open(
+    m_settings.m_peerListen,
+    [this](const Endpoint&, std::string_view aData) { OnDatagram(aData); });
+  if (opened.ok()) {
+    opened = m_link.Open(m_settings.m_peerListen,
+                         [this](std::string_view aData) { OnFrame(aData); });
+  }
+  if (!opened.ok()) {
+    return opened;
+  }
+  m_controlTimer = m_loop.RunEvery(kControlTick, [this] { ControlTurn(); });
+  return absl::OkStatus();
+}
+
+std::vector<StatePeer> HostCore::StatePeers() const
+{
+  Instant now = m_loop.Now();
+  std::vector<StatePeer> peers;
+  for (const auto& [id, row] : m_membership.Hosts()) {
+    StatePeer peer;
+    peer.m_host = id;
+    peer.m_dataCentre = row.m_dataCentre;
+    peer.m_peer = row.m_peer;
+    peer.m_disk = row.m_disk;
+    peer.m_group = row.m_group;
+    peer.m_planIndex = row.m_planIndex;
+    peer.m_isAlive = row.m_state <= HostState::Suspect;
+    auto downSince = m_membership.DownSince(id);
+    peer.m_downFor = downSince ? now - *downSince : Duration(0);
+    peers.push_back(std::move(peer));
+  }
+  return peers;
+}
+
+void HostCore::LogHostChange(const HostChange& aChange)
+{
+  static constexpr const char* kNames[] = { "alive", "suspect", "dead", "left" };
+  if (!aChange.m_isNew && aChange.m_before == aChange.m_row.m_state) {
+    return;
+  }
+  WriteLog(LogLevel::Info,
+           "host_changed",
+           { { "peer", aChange.m_row.m_id.Value() },
+             { "before",
+               aChange.m_isNew ? "unknown"
+                               : kNames[static_cast<int>(aChange.m_before)] },
+             { "state", kNames[static_cast<int>(aChange.m_row.m_state)] },
+             { "incarnation", aChange.m_row.m_incarnation } });
+}
+
+void HostCore::ControlTurn()
+{
+  Instant now = m_loop.Now();
+  m_membership.Tick(now);
+  for (const HostChange& change : m_membership.TakeHostChanges()) {
+    LogHostChange(change);
+    if (m_onHostChange) {
+      m_onHostChange(change);
+    }
+  }
+  if (m_onTurn) {
+    m_onTurn();
+  }
+  m_state->Tick(now, StatePeers());
+  m_membership.SetDisk(m_state->Disk(), m_state->Group());
+  FlushState();
+  FlushMembership();
+  m_metrics.SetGauge("log_syncs", static_cast<double>(m_state->SyncCount()));
+}
+
+void HostCore::FlushMembership()
+{
+  for (MembershipSend& send : m_membership.TakeSends()) {
+    if (auto* tables = std::get_if<MembershipTables>(&send.m_message)) {
+      Send(send.m_to, std::move(*tables));
+      continue;
+    }
+    std::string payload = Encode(std::get<GossipMessage>(send.m_message));
+    std::string data = Seal(m_settings.m_peerKey, m_settings.m_host, payload);
+    m_metrics.Add("control_bytes_sent_total", data.size() + kDatagramOverhead);
+    m_metrics.Add("gossip_messages_sent_total");
+    m_udp.Send(send.m_to, data);
+  }
+}
+
+void HostCore::Send(const Endpoint& aTo,
+                                  const PeerMessage& aMessage)
+{
+  std::string data =
+    Seal(m_settings.m_peerKey, m_settings.m_host, Encode(aMessage));
+  m_metrics.Add("control_bytes_sent_total", data.size());
+  m_link.Send(aTo, std::move(data));
+}
+
+void HostCore::FlushState()
+{
+  if (std::exchange(m_flushPosted, true)) {
+    return;
+  }
+  m_loop.Post([this] {
+    m_flushPosted = false;
+    m_state->Flush();
+    if (!m_state->Failure().ok()) {
+      Fail(m_state->Failure());
+      return;
+    }
+    for (const StateEvent& event : m_state->TakeEvents()) {
+      WriteLog(LogLevel::Info, event.m_event, { { "detail", event.m_detail } });
+    }
+    for (const StateSend& send : m_state->TakeSends()) {
+      Send(send.m_to, send.m_message);
+    }
+  });
+}
+
+void HostCore::OnDatagram(std::string_view aData)
+{
+  auto sealed = Unseal(m_settings.m_peerKey, aData);
+  if (!sealed.ok()) {
+    m_metrics.Add("peer_messages_refused_total");
+    return;
+  }
+  auto message = Decode<GossipMessage>(sealed->m_payload);
+  if (!message.ok()) {
+    m_metrics.Add("peer_messages_refused_total");
+    return;
+  }
+  m_metrics.Add("control_bytes_received_total",
+                aData.size() + kDatagramOverhead);
+  m_membership.Receive(m_loop.Now(), sealed->m_from, *message);
+  FlushMembership();
+}
+
+void HostCore::OnFrame(std::string_view aData)
+{
+  auto sealed = Unseal(m_settings.m_peerKey, aData);
+  if (!sealed.ok()) {
+    m_metrics.Add("peer_messages_refused_total");
+    return;
+  }
+  auto message = Decode<PeerMessage>(sealed->m_payload);
+  if (!message.ok()) {
+    m_metrics.Add("peer_messages_refused_total");
+    return;
+  }
+  m_metrics.Add("control_bytes_received_total", aData.size());
+  Instant now = m_loop.Now();
+  if (auto* tables = std::get_if<MembershipTables>(&*message)) {
+    m_membership.ReceiveTables(now, sealed->m_from, *tables);
+    FlushMembership();
+    return;
+  }
+  std::visit(
+    [&](const auto& aBody) {
+      using Body = std::decay_t<decltype(aBody)>;
+      constexpr bool kIsState = requires { m_state->Receive(now, aBody); };
+      if constexpr (kIsState) {
+        m_state->Receive(now, aBody);
+        FlushState();
+      } else if constexpr (!std::is_same_v<Body, MembershipTables>) {
+        m_onMessage(sealed->m_from, *message);
+      }
+    },
+    *message);
+}
+
+void HostCore::Leave()
+{
+  m_membership.Leave(m_loop.Now());
+  FlushMembership();
+  FlushState();
+}
+
+void HostCore::Reload(const Settings& aSettings)
+{
+  WriteLog(LogLevel::Info,
+           "settings_reloaded",
+           { { "seeds", aSettings.m_seeds.size() } });
+  m_settings.m_seeds = aSettings.m_seeds;
+  m_membership.SetSeeds(aSettings.m_seeds);
+}
+
+void HostCore::Fail(const absl::Status& aStatus)
+{
+  m_failure = aStatus;
+  WriteLog(LogLevel::Error,
+           "stopped",
+           { { "reason", std::string(aStatus.message()) } });
+  m_loop.Stop();
+}
+
+} // namespace persimmontally
--- /dev/null
+++ b/lib/Forwarding/ControlPlane.cpp
@@ -0,0 +1,168 @@
+#include "persimmontally/Forwarding/ControlPlane.h"
+
+#include "persimmontally/Membership/Membership.h"
+#include "persimmontally/State/StateService.h"
+#include "persimmontally/Support/Log.h"
+#include "persimmontally/Support/Metrics.h"
+
+namespace persimmontally {
+
+/// How long a read waits for this host to catch up with the group, and how
+/// often it looks; operators turn to another host after a second.
+static constexpr Duration kCatchUpWait = milliseconds(800);
+static constexpr Duration kCatchUpLook = milliseconds(20);
+/// Tokens of a block of engine memory, as rows count it.
+static constexpr uint32_t kBlockTokens = 16;
+
+ControlPlane::ControlPlane(EventLoop& aLoop,
+                           Membership& aMembership,
+                           StateService& aState,
+                           Metrics& aMetrics,
+                           const WireProtocol& aProtocol)
+  : m_loop(aLoop)
+  , m_membership(aMembership)
+  , m_state(aState)
+  , m_metrics(aMetrics)
+  , m_protocol(aProtocol)
+{
+}
+
+void ControlPlane::Handle(const HttpRequest& aRequest, const Writer& aWriter)
+{
+  ControlRequest request = m_protocol.DecodeControl(aRequest);
+  std::visit([&](const auto& aBody) { Answer(aWriter, aBody); }, request);
+}
+
+void ControlPlane::Refuse(ResponseWriter& aWriter,
+                          ErrorKind aKind,
+                          std::string aMessage)
+{
+  Refusal refusal = RefusalBuilder(aKind, std::move(aMessage)).Build();
+  WriteLog(LogLevel::Info,
+           "control_refuse",
+           { { "kind", LookUpError(aKind).m_name },
+             { "reason", refusal.m_message } });
+  aWriter.SendWhole(m_protocol.EncodeRefusal(refusal, ""));
+}
+
+void ControlPlane::Answer(const Writer& aWriter,
+                          const InvalidControlRequest& aRequest)
+{
+  m_metrics.Add("control_requests_total{result=\"invalid\"}");
+  Refuse(*aWriter, aRequest.m_kind, aRequest.m_message);
+}
+
+// Upstreams.
+
+/// Adds what the catalog knows of the upstream's service.
+void ControlPlane::Complete(UpstreamRow& aRow) const
+{
+  const ServiceSpec* service =
+    m_routes ? m_routes->FindService(aRow.m_service) : nullptr;
+  if (service == nullptr || !service->m_engine) {
+    aRow.m_kind = UpstreamKind::Service;
+    return;
+  }
+  aRow.m_kind = UpstreamKind::Engine;
+  aRow.m_models = { ModelId(aRow.m_service) };
+  aRow.m_blockTokens = kBlockTokens;
+  aRow.m_kvBlocks = service->m_engine->m_memoryTokens / kBlockTokens;
+}
+
+void ControlPlane::Answer(const Writer& aWriter,
+                          const AnnounceUpstream& aRequest)
+{
+  UpstreamRow row = aRequest.m_row;
+  Complete(row);
+  UpstreamMerge merge = m_membership.Announce(m_loop.Now(), row);
+  if (merge == UpstreamMerge::Changed) {
+    WriteLog(LogLevel::Info,
+             "upstream_changed",
+             { { "upstream", row.m_id.Value() },
+               { "service", row.m_service },
+               { "address", ToString(row.m_endpoint) },
+               { "incarnation", row.m_incarnation },
+               { "sequence", row.m_sequence },
+               { "state",
+                 row.m_state == UpstreamState::Serving ? "serving"
+                                                       : "leaving" } });
+  }
+  m_metrics.Add("announcements_total");
+  aWriter->SendWhole(m_protocol.EncodeAcknowledgement());
+}
+
+void ControlPlane::Answer(const Writer& aWriter,
+                          const WithdrawUpstream& aRequest)
+{
+  if (!m_membership.Withdraw(m_loop.Now(), aRequest.m_upstream)) {
+    Refuse(*aWriter, ErrorKind::NoUpstream, "the upstream is not known here");
+    return;
+  }
+  WriteLog(LogLevel::Info,
+           "upstream_withdrawn",
+           { { "upstream", aRequest.m_upstream.Value() } });
+  aWriter->SendWhole(m_protocol.EncodeAcknowledgement());
+}
+
+// Catalog.
+
+void ControlPlane::Answer(const Writer& aWriter, const StoreCatalog& aRequest)
+{
+  m_state.Propose(
+    m_loop.Now(),
+    PutCatalog{ aRequest.m_version, aRequest.m_document },
+    [this, aWriter, version = aRequest.m_version](const CommandResult& aResult) {
+      bool accepted = aResult.m_status == CommandStatus::Accepted;
+      WriteLog(LogLevel::Info,
+               "catalog_stored",
+               { { "version", version },
+                 { "in_force", aResult.m_version },
+                 { "result", accepted ? "accepted" : "undecided" } });
+      if (accepted) {
+        aWriter->SendWhole(m_protocol.EncodeAcknowledgement());
+      } else {
+        Refuse(*aWriter, ErrorKind::NoQuorum, "no majority answered in time");
+      }
+    });
+}
+
+void ControlPlane::Answer(const Writer& aWriter, const FetchCatalog&)
+{
+  m_state.Propose(
+    m_loop.Now(), ReadCatalog(), [this, aWriter](const CommandResult& aResult) {
+      if (aResult.m_status != CommandStatus::Accepted) {
+        Refuse(*aWriter, ErrorKind::NoQuorum, "no majority answered in time");
+        return;
+      }
+      if (aResult.m_version == 0) {
+        Refuse(*aWriter, ErrorKind::NoQuorum, "no catalog is stored yet");
+        return;
+      }
+      SendCatalog(aWriter, aResult.m_version, m_loop.Now() + kCatchUpWait);
+    });
+}
+
+/// Answers with the catalog once this host has a version, or a newer one.
+void ControlPlane::SendCatalog(const Writer& aWriter,
+                               uint64_t aVersion,
+                               Instant aUntil)
+{
+  const ListVersion& catalog = m_state.Plans().m_catalog;
+  if (catalog.m_version >= aVersion) {
+    aWriter->SendWhole(m_protocol.EncodeCatalog(catalog.m_json));
+    return;
+  }
+  if (m_loop.Now() >= aUntil) {
+    Refuse(*aWriter, ErrorKind::NoQuorum, "this host lags behind the group");
+    return;
+  }
+  uint64_t wait = m_nextWait++;
+  m_waits[wait] =
+    m_loop.RunAfter(kCatchUpLook, [this, aWriter, aVersion, aUntil, wait] {
+      Timer ended = std::move(m_waits[wait]);
+      m_waits.erase(wait);
+      SendCatalog(aWriter, aVersion, aUntil);
+    });
+}
+
+} // namespace persimmontally
--- /dev/null
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -0,0 +1,521 @@
+#include "ForwardFlow.h"
+
+#include "persimmontally/Membership/Membership.h"
+#include "persimmontally/Support/Log.h"
+#include "persimmontally/Support/Metrics.h"
+
+#include <algorithm>
+
+namespace persimmontally {
+
+static constexpr int kOk = 200;
+static constexpr int kFirstErrorStatus = 300;
+static constexpr int kFirstServerError = 500;
+/// Least time that a generation must have left for a send to make sense: a
+/// round trip between regions and a first token.
+static constexpr Duration kLeastTimeLeft = milliseconds(30);
+/// Wait suggested to a caller whose request an upstream turned away: long
+/// enough for the news of what filled it to arrive here.
+static constexpr Duration kRetryAfterTurnedAway = milliseconds(100);
+
+ForwardFlow::ForwardFlow(ForwardGateway& aGateway,
+                         RequestId aId,
+                         RoutedRequest aRequest,
+                         ForwardTarget aTarget,
+                         std::shared_ptr<ResponseWriter> aWriter)
+  : m_gateway(aGateway)
+  , m_id(std::move(aId))
+  , m_request(std::move(aRequest))
+  , m_target(std::move(aTarget))
+  , m_writer(std::move(aWriter))
+  , m_arrivedAt(aGateway.Loop().Now())
+{
+  m_deadline = m_arrivedAt + m_target.m_route->m_timeout;
+  if (m_request.m_patience) {
+    m_deadline = std::min(m_deadline, m_arrivedAt + *m_request.m_patience);
+  }
+}
+
+Duration ForwardFlow::TimeLeft() const
+{
+  return m_deadline - m_gateway.Loop().Now();
+}
+
+void ForwardFlow::Start()
+{
+  auto self = shared_from_this();
+  m_writer->OnClosed([self] { self->OnCallerGone(); });
+  m_gateway.RetriesOf(m_target.m_service->m_name).OnRequest();
+  m_deadlineTimer =
+    m_gateway.Loop().RunAfter(std::max(Duration(0), m_deadline - m_arrivedAt),
+                              [self] { self->OnDeadline(); });
+  Enqueue();
+}
+
+// Placement.
+
+Ticket ForwardFlow::MakeTicket() const
+{
+  const ForwardOptions& options = m_gateway.Options();
+  Ticket ticket;
+  ticket.m_id = m_id;
+  ticket.m_account = m_target.m_account;
+  ticket.m_rank = m_target.m_priority == 0 ? Rank::Urgent : Rank::Routine;
+  if (IsGeneration()) {
+    ticket.m_model = ModelId(m_target.m_service->m_name);
+  } else {
+    ticket.m_service = m_target.m_service->m_name;
+  }
+  ticket.m_promptTokens = m_request.m_promptTokens;
+  ticket.m_maxTokens = m_request.m_maxOutputTokens;
+  ticket.m_expectedTokens = m_request.m_expectedOutputTokens;
+  ticket.m_arrivedAt = m_arrivedAt;
+  double objective = ToSeconds(m_target.m_route->m_latencyObjective);
+  double wait = std::min(objective * options.m_mostWaitOfObjective,
+                         ToSeconds(m_deadline - m_arrivedAt) *
+                           options.m_mostWaitOfPatience);
+  ticket.m_placeBy =
+    m_arrivedAt + std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(wait));
+  ticket.m_excluded = m_excluded;
+  return ticket;
+}
+
+void ForwardFlow::Enqueue()
+{
+  m_state = State::Queued;
+  auto refusal =
+    m_gateway.Placement().Enqueue(m_gateway.Loop().Now(), MakeTicket());
+  if (refusal) {
+    Refuse(*refusal);
+    return;
+  }
+  m_gateway.Kick();
+}
+
+void ForwardFlow::OnRefused(const Refusal& aRefusal)
+{
+  if (m_state == State::Queued) {
+    Refuse(aRefusal);
+  }
+}
+
+void ForwardFlow::OnGrant(const DispatchGrant& aGrant)
+{
+  if (m_state != State::Queued) {
+    return;
+  }
+  m_placedAs = m_id;
+  const UpstreamEntry* entry =
+    m_gateway.Members().Upstreams().Find(aGrant.m_upstream);
+  WriteLog(LogLevel::Info,
+           "place",
+           { { "request", m_request.m_id },
+             { "upstream", aGrant.m_upstream.Value() },
+             { "score", aGrant.m_score },
+             { "candidates", aGrant.m_candidates },
+             { "waited_ms",
+               ToMilliseconds(m_gateway.Loop().Now() - m_arrivedAt) },
+             { "catalog", m_target.m_routes->Version() } });
+  m_upstream = aGrant.m_upstream;
+  if (entry == nullptr || TimeLeft() < kLeastTimeLeft) {
+    Refuse(RefusalBuilder(ErrorKind::Overloaded, "no time left to run").Build());
+    return;
+  }
+  m_state = State::Placed;
+  m_upstreamEndpoint = entry->m_row.m_endpoint;
+  ++m_connects;
+  Send(m_upstreamEndpoint, std::nullopt);
+}
+
+// The call of the upstream.
+
+HttpCallEvents ForwardFlow::MakeEvents()
+{
+  auto self = shared_from_this();
+  HttpCallEvents events;
+  events.m_onSend = [self] {
+    self->m_wasSent = true;
+    ++self->m_sends;
+    self->m_sentAt = self->m_gateway.Loop().Now();
+    self->m_state = State::Sent;
+  };
+  events.m_onHead = [self](int aStatus, const HttpHeaders& aHeaders) {
+    self->OnHead(aStatus, aHeaders);
+  };
+  events.m_onData = [self](std::string_view aData) { self->OnData(aData); };
+  events.m_onEnd = [self](const absl::Status& aStatus) {
+    self->OnCallEnd(aStatus);
+  };
+  return events;
+}
+
+void ForwardFlow::Send(const Endpoint& aEndpoint,
+                       std::optional<ResumePoint> aResume)
+{
+  UpstreamOrder order;
+  order.m_timeLeft = TimeLeft();
+  order.m_upstream = m_upstream;
+  order.m_account = m_target.m_account;
+  order.m_resume = std::move(aResume);
+  if (IsGeneration()) {
+    order.m_priority = m_target.m_priority;
+  }
+  m_head = AnswerHead();
+  m_body.clear();
+  HttpRequest request =
+    m_gateway.Protocol().EncodeForUpstream(m_request, order);
+  // The deadline timer ends the call; an upstream's silence does not.
+  HttpCallTimeouts timeouts{ m_gateway.Options().m_connectTimeout,
+                             order.m_timeLeft + seconds(1) };
+  HttpCallEvents events = MakeEvents();
+  // A generation is worth far more than a handshake, and a kept connection may
+  // turn out to be dropped only after the request was written.
+  m_call = IsStream() ? StartHttpCall(m_gateway.Loop(),
+                                      aEndpoint,
+                                      std::move(request),
+                                      timeouts,
+                                      std::move(events))
+                      : m_gateway.Connections().Start(aEndpoint,
+                                                      std::move(request),
+                                                      timeouts,
+                                                      std::move(events));
+}
+
+void ForwardFlow::OnHead(int aStatus, const HttpHeaders& aHeaders)
+{
+  m_head = m_gateway.Protocol().DecodeAnswer(m_request, aStatus, aHeaders);
+  bool isStreamed =
+    IsStream() && m_head.m_status == kOk && m_head.m_isGenuine;
+  if (!isStreamed || m_state == State::Ended) {
+    return;
+  }
+  if (!m_hasStarted) {
+    m_hasStarted = true;
+    m_writer->StartStream(m_head.m_status, m_head.m_headers);
+  }
+  m_resume.reset();
+  m_state = State::Streaming;
+}
+
+void ForwardFlow::OnData(std::string_view aData)
+{
+  if (m_state == State::Streaming) {
+    ForwardEvents(aData);
+    return;
+  }
+  m_body.append(aData);
+  if (m_body.size() > m_gateway.Options().m_maxAnswerBytes) {
+    m_call->Cancel();
+    OnAttemptFailed("the answer is too large");
+  }
+}
+
+void ForwardFlow::OnCallEnd(const absl::Status& aStatus)
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  m_call.reset();
+  if (m_state == State::Streaming) {
+    OnStreamEnd(aStatus);
+    return;
+  }
+  if (m_state == State::Placed) {
+    OnConnectFailed(std::string(aStatus.message()));
+    return;
+  }
+  if (!aStatus.ok()) {
+    OnAttemptFailed(std::string(aStatus.message()));
+    return;
+  }
+  OnWholeAnswer();
+}
+
+// Whole answers.
+
+void ForwardFlow::OnWholeAnswer()
+{
+  if (m_head.m_isNotRun) {
+    OnNotRun();
+    return;
+  }
+  if (!m_head.m_isGenuine) {
+    OnAttemptFailed("an answer that is not the upstream's, status " +
+                    std::to_string(m_head.m_status));
+    return;
+  }
+  // These states promise that the request did not run, which only the upstream
+  // can know, and it did not say so.
+  constexpr std::array kPromises = { 408, 421, 429, 503 };
+  if (std::count(kPromises.begin(), kPromises.end(), m_head.m_status) > 0) {
+    OnAttemptFailed("refused without a statement that it did not run");
+    return;
+  }
+  if (m_head.m_status >= kFirstServerError &&
+      TryAgain("status " + std::to_string(m_head.m_status), true)) {
+    return;
+  }
+  m_writer->SendWhole(
+    { m_head.m_status, m_head.m_headers, std::move(m_body) });
+  Close(DispatchOutcome::Finished,
+        m_head.m_status < kFirstErrorStatus ? "finished" : "upstream_error");
+}
+
+// Streams.
+
+void ForwardFlow::ForwardEvents(std::string_view aData)
+{
+  Instant now = m_gateway.Loop().Now();
+  std::string whole = m_events.Feed(aData);
+  if (m_events.HasFailed() || m_events.HasGap()) {
+    m_call->Cancel();
+    Interrupt(m_events.HasGap() ? "a gap between two engines"
+                                : "an event is too long");
+    return;
+  }
+  if (whole.empty()) {
+    return;
+  }
+  if (m_firstEventAt == Instant()) {
+    m_firstEventAt = now;
+    m_gateway.Counters().Record("first_token_seconds", now - m_arrivedAt);
+  } else {
+    m_gateway.Counters().Record("token_gap_seconds", now - m_lastEventAt);
+  }
+  m_lastEventAt = now;
+  NoteProgress();
+  m_writer->Write(whole);
+  HoldBackIfSlow();
+}
+
+void ForwardFlow::NoteProgress()
+{
+  m_gateway.Placement().Progress(m_gateway.Loop().Now(),
+                                 m_placedAs,
+                                 m_events.Events() *
+                                   m_gateway.Options().m_tokensPerEvent);
+}
+
+void ForwardFlow::HoldBackIfSlow()
+{
+  bool isFull =
+    m_writer->BufferedBytes() > m_gateway.Options().m_streamBufferBytes;
+  if (!isFull || m_isPaused || !m_call) {
+    return;
+  }
+  m_isPaused = true;
+  m_call->Pause();
+  m_writer->OnDrained([self = shared_from_this()] {
+    self->m_isPaused = false;
+    if (self->m_call) {
+      self->m_call->Resume();
+    }
+  });
+}
+
+void ForwardFlow::OnStreamEnd(const absl::Status& aStatus)
+{
+  if (aStatus.ok()) {
+    m_writer->Write(m_events.Rest());
+    m_writer->Finish();
+    Close(DispatchOutcome::Finished, "finished");
+    return;
+  }
+  m_events.Restart();
+  if (m_move || m_resume) {
+    // The engine closes the stream when it stops a generation that moves.
+    m_isSourceDone = true;
+    m_state = State::Moving;
+    if (m_resume) {
+      ResumeElsewhere();
+    }
+    return;
+  }
+  m_gateway.Placement().Local().Health().RecordStall(m_gateway.Loop().Now(),
+                                                     m_upstream);
+  Interrupt(std::string(aStatus.message()));
+}
+
+// Failures.
+
+/// Whether another upstream was found to try; the present one is left out.
+bool ForwardFlow::TryAgain(const std::string& aReason, bool aNeedsBudget)
+{
+  const Route& route = *m_target.m_route;
+  bool mayRun = !m_wasSent ||
+                (route.m_repeatability == Repeatability::Idempotent &&
+                 m_sends < route.m_maxAttempts);
+  bool hasTime = TimeLeft() > kLeastTimeLeft;
+  RetryBudget& budget = m_gateway.RetriesOf(m_target.m_service->m_name);
+  if (!mayRun || !hasTime || m_connects >= m_gateway.Options().m_maxConnects ||
+      (aNeedsBudget && !budget.TryTake())) {
+    return false;
+  }
+  WriteLog(LogLevel::Info,
+           "retry",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "sends", m_sends },
+             { "reason", aReason } });
+  m_gateway.Counters().Add("retries_total");
+  m_excluded.insert(m_upstream);
+  ReleasePlace(DispatchOutcome::Failed);
+  Enqueue();
+  return true;
+}
+
+void ForwardFlow::OnConnectFailed(const std::string& aReason)
+{
+  m_gateway.Placement().Local().Health().RecordStall(m_gateway.Loop().Now(),
+                                                     m_upstream);
+  WriteLog(LogLevel::Warning,
+           "connect_failed",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "reason", aReason } });
+  if (!TryAgain("connect", false)) {
+    Refuse(RefusalBuilder(ErrorKind::Overloaded, "no upstream can be reached")
+             .WithRetryAfter(kRetryAfterTurnedAway)
+             .Build());
+  }
+}
+
+/// The upstream turned the request away: where it may be sent to another one,
+/// it is; else its caller hears that it did not run.
+void ForwardFlow::OnNotRun()
+{
+  m_gateway.Counters().Add("turned_away_total");
+  if (m_sends >= m_target.m_route->m_maxAttempts ||
+      !TryAgain("turned away", true)) {
+    m_wasSent = m_sends > 1;
+    Refusal refusal =
+      RefusalBuilder(ErrorKind::Overloaded, "the upstream turned it away")
+        .WithRetryAfter(kRetryAfterTurnedAway)
+        .Build();
+    if (m_wasSent) {
+      // An earlier attempt may have run.
+      refusal = RefusalBuilder(ErrorKind::UpstreamFailed, "turned away")
+                  .AfterSend()
+                  .Build();
+    }
+    Refuse(refusal);
+  }
+}
+
+void ForwardFlow::OnAttemptFailed(const std::string& aReason)
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  WriteLog(LogLevel::Warning,
+           "attempt_failed",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "reason", aReason } });
+  if (!TryAgain(aReason, true)) {
+    Refuse(
+      RefusalBuilder(ErrorKind::UpstreamFailed, aReason).AfterSend().Build());
+  }
+}
+
+void ForwardFlow::OnDeadline()
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  if (m_hasStarted) {
+    Interrupt("the time of the request is over");
+    return;
+  }
+  if (m_wasSent) {
+    Refuse(RefusalBuilder(ErrorKind::UpstreamTimeout, "no answer in time")
+             .AfterSend()
+             .Build());
+    return;
+  }
+  Refuse(RefusalBuilder(ErrorKind::Overloaded, "not started in time").Build());
+}
+
+void ForwardFlow::OnCallerGone()
+{
+  if (m_state != State::Ended) {
+    Close(DispatchOutcome::Cancelled, "caller_gone");
+  }
+}
+
+void ForwardFlow::Refuse(const Refusal& aRefusal)
+{
+  if (m_hasStarted) {
+    Interrupt(aRefusal.m_message);
+    return;
+  }
+  m_gateway.Refuse(*m_writer, aRefusal, m_request.m_id);
+  Close(DispatchOutcome::Failed, "refused");
+}
+
+/// Ends a stream that cannot go on: the caller sees that it is incomplete.
+void ForwardFlow::Interrupt(const std::string& aReason)
+{
+  WriteLog(LogLevel::Warning,
+           "interrupt",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "events", m_events.Events() },
+             { "reason", aReason } });
+  m_gateway.Counters().Add("interrupted_total");
+  m_writer->Abort();
+  Close(DispatchOutcome::Failed, "interrupted");
+}
+
+// End.
+
+void ForwardFlow::ReleasePlace(DispatchOutcome aOutcome)
+{
+  if (m_state == State::Queued) {
+    m_gateway.Placement().Withdraw(m_id);
+  }
+  if (!m_placedAs.Empty()) {
+    m_gateway.Placement().Complete(
+      m_gateway.Loop().Now(), m_placedAs, aOutcome);
+    m_placedAs = RequestId();
+  }
+}
+
+void ForwardFlow::Close(DispatchOutcome aOutcome, const char* aResult)
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  ReleasePlace(aOutcome);
+  m_state = State::Ended;
+  m_deadlineTimer.Cancel();
+  if (m_call) {
+    m_call->Cancel();
+    m_call.reset();
+  }
+  AbandonMove();
+  Instant now = m_gateway.Loop().Now();
+  WriteLog(LogLevel::Info,
+           "end",
+           { { "request", m_request.m_id },
+             { "route", m_target.m_route->m_name },
+             { "upstream", m_upstream.Value() },
+             { "result", aResult },
+             { "status", m_head.m_status },
+             { "events", m_events.Events() },
+             { "moves", m_moves },
+             { "sent_after_ms",
+               m_wasSent ? ToMilliseconds(m_sentAt - m_arrivedAt) : -1 },
+             { "first_after_ms",
+               m_firstEventAt == Instant()
+                 ? -1
+                 : ToMilliseconds(m_firstEventAt - m_arrivedAt) },
+             { "took_ms", ToMilliseconds(now - m_arrivedAt) } });
+  m_gateway.Counters().Add(std::string("requests_total{result=\"") + aResult +
+                           "\"}");
+  m_gateway.Counters().Record("request_seconds", now - m_arrivedAt);
+  m_gateway.EndFlow(m_id);
+}
+
+} // namespace persimmontally
--- /dev/null
+++ b/lib/Forwarding/GenerationMove.cpp
@@ -0,0 +1,101 @@
+#include "GenerationMove.h"
+
+#include "persimmontally/Net/EventLoop.h"
+#include "persimmontally/Support/Log.h"
+
+namespace persimmontally {
+
+/// Longest wait for a copy. Copies queue on the links, and a reclaimed engine
+/// is gone about two seconds after its notice.
+static constexpr Duration kCopyTimeout = milliseconds(2500);
+
+GenerationMove::GenerationMove(ForwardGateway& aGateway,
+                               std::string aRequestId,
+                               Endpoint aSource,
+                               Endpoint aTarget,
+                               Callback aCallback)
+  : m_gateway(aGateway)
+  , m_requestId(std::move(aRequestId))
+  , m_source(std::move(aSource))
+  , m_target(std::move(aTarget))
+  , m_callback(std::move(aCallback))
+{
+}
+
+void GenerationMove::Start()
+{
+  Call();
+}
+
+void GenerationMove::Call()
+{
+  const ForwardOptions& options = m_gateway.Options();
+  m_call = StartWholeHttpCall(
+    m_gateway.Loop(),
+    m_source,
+    m_gateway.Protocol().EncodeMove(m_requestId, m_target, m_isLast),
+    { options.m_connectTimeout, kCopyTimeout },
+    [self = shared_from_this()](const absl::Status& aStatus,
+                                const HttpResponse& aResponse) {
+      self->OnAnswer(aStatus, aResponse);
+    });
+}
+
+void GenerationMove::OnAnswer(const absl::Status& aStatus,
+                              const HttpResponse& aResponse)
+{
+  if (m_isEnded) {
+    return;
+  }
+  MoveAnswer answer;
+  if (aStatus.ok()) {
+    answer = m_gateway.Protocol().DecodeMove(aResponse);
+  }
+  WriteLog(LogLevel::Info,
+           "move_step",
+           { { "request", m_requestId },
+             { "source", ToString(m_source) },
+             { "target", ToString(m_target) },
+             { "last", m_isLast ? "yes" : "no" },
+             { "status", aStatus.ok() ? std::to_string(aResponse.m_status)
+                                      : std::string(aStatus.message()) },
+             { "copied", answer.m_isCopied ? "yes" : "no" } });
+  if (!answer.m_handle.empty()) {
+    m_handle = answer.m_handle;
+  }
+  if (answer.m_isCopied && !m_isLast) {
+    m_isLast = true;
+    Call();
+    return;
+  }
+  m_isEnded = true;
+  m_callback({ answer.m_isCopied, m_isLast && !m_handle.empty(), m_handle });
+}
+
+void GenerationMove::DropCopy()
+{
+  if (m_handle.empty()) {
+    return;
+  }
+  StartWholeHttpCall(m_gateway.Loop(),
+                     m_source,
+                     m_gateway.Protocol().EncodeDropCopy(m_handle),
+                     { m_gateway.Options().m_connectTimeout, seconds(1) },
+                     [](const absl::Status&, const HttpResponse&) {
+                       // The engine frees the copy by itself a little later.
+                     });
+}
+
+void GenerationMove::Cancel()
+{
+  if (m_isEnded) {
+    return;
+  }
+  m_isEnded = true;
+  if (m_call) {
+    m_call->Cancel();
+  }
+  DropCopy();
+}
+
+} // namespace persimmontally
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -12,7 +12,7 @@
 static constexpr size_t kPoisonPerMessage = 2;
 static constexpr size_t kMaxPoisonDeaths = 8;
 /// Hosts that news which cannot wait is sent to at once.
-static constexpr size_t kMaxUrgentTargets = 64;
+static constexpr size_t kMaxUrgentTargets = 128;
 /// Tables are asked of one host no more often than this.
 static constexpr Duration kTablesAskPeriod = seconds(2);
 
@@ -24,6 +24,7 @@
   , m_seeds(std::move(aSeeds))
   , m_options(aOptions)
   , m_random(aSeed)
+  , m_upstreams(m_options.m_upstreamLease)
 {
   m_hosts[m_self.m_id] = m_self;
 }
@@ -130,6 +131,7 @@
   UpstreamMerge merge = m_upstreams.Merge(aNow, aRow);
   if (merge == UpstreamMerge::Changed) {
     m_upstreamPushes[aRow.m_id] = RetransmitCount();
+    SendUpstreamNews(aRow.m_id);
   }
   if (merge != UpstreamMerge::Stale) {
     m_renewed.insert(aRow.m_id);
@@ -137,6 +139,36 @@
   return merge;
 }
 
+bool Membership::Withdraw(Instant aNow, const UpstreamId& aId)
+{
+  const UpstreamEntry* entry = m_upstreams.Find(aId);
+  if (entry == nullptr) {
+    return false;
+  }
+  if (entry->m_row.m_state != UpstreamState::Gone) {
+    m_upstreams.MarkGone(aNow, aId);
+    m_upstreamPushes[aId] = RetransmitCount();
+    SendUpstreamNews(aId);
+  }
+  return true;
+}
+
+/// Sends a changed row to the hosts at once: an upstream that is reclaimed has
+/// less time than a round of gossip takes. Hosts that this misses hear of it
+/// by gossip.
+void Membership::SendUpstreamNews(const UpstreamId& aId)
+{
+  std::vector<HostId> targets = AliveOthers();
+  if (targets.size() > kMaxUrgentTargets) {
+    targets.resize(kMaxUrgentTargets);
+  }
+  for (const HostId& id : targets) {
+    MembershipTables news;
+    news.m_upstreams.push_back(m_upstreams.Find(aId)->m_row);
+    m_sends.push_back({ m_hosts.at(id).m_peer, std::move(news) });
+  }
+}
+
 void Membership::ReportPoison(Instant aNow, const PoisonRow& aRow)
 {
   PoisonRow before = m_poison[aRow.m_fingerprint];
--- a/lib/Membership/UpstreamTable.cpp
+++ b/lib/Membership/UpstreamTable.cpp
@@ -16,7 +16,7 @@
 {
   auto at = m_rows.find(aRow.m_id);
   if (at == m_rows.end()) {
-    m_rows[aRow.m_id] = { aRow, aNow + kLeaseDuration, aNow };
+    m_rows[aRow.m_id] = { aRow, aNow + m_lease, aNow };
     ++m_version;
     return UpstreamMerge::Changed;
   }
@@ -35,11 +35,23 @@
     merged.m_sequence = std::max(aRow.m_sequence, known.m_sequence);
   }
   bool changed = !sameLife || !SameProperties(merged, known);
-  at->second = { merged, aNow + kLeaseDuration, aNow };
+  at->second = { merged, aNow + m_lease, aNow };
   m_version += changed ? 1 : 0;
   return changed ? UpstreamMerge::Changed : UpstreamMerge::Renewed;
 }
 
+bool UpstreamTable::MarkGone(Instant aNow, const UpstreamId& aId)
+{
+  auto at = m_rows.find(aId);
+  if (at == m_rows.end()) {
+    return false;
+  }
+  UpstreamRow row = at->second.m_row;
+  row.m_state = UpstreamState::Gone;
+  Merge(aNow, row);
+  return true;
+}
+
 bool UpstreamTable::Renew(Instant aNow, const UpstreamRenewal& aRenewal)
 {
   auto at = m_rows.find(aRenewal.m_id);
@@ -54,7 +66,7 @@
   }
   known.m_sequence = aRenewal.m_sequence;
   known.m_load = aRenewal.m_load;
-  at->second.m_leaseEnd = aNow + kLeaseDuration;
+  at->second.m_leaseEnd = aNow + m_lease;
   at->second.m_reportedAt = aNow;
   return true;
 }
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -5,7 +5,11 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace persimmontally {
 
@@ -84,6 +88,25 @@
   return Timer(armed);
 }
 
+static void WaitForReload(LoopContext& aContext,
+                          std::shared_ptr<std::function<void()>> aAction)
+{
+  aContext.m_reloadSignals.async_wait(
+    [&aContext, aAction](const boost::system::error_code& aError, int) {
+      if (!aError) {
+        (*aAction)();
+        WaitForReload(aContext, aAction);
+      }
+    });
+}
+
+void EventLoop::OnReload(std::function<void()> aAction)
+{
+  m_context->m_reloadSignals.add(SIGHUP);
+  WaitForReload(*m_context,
+                std::make_shared<std::function<void()>>(std::move(aAction)));
+}
+
 void EventLoop::OnTerminate(std::function<void()> aAction)
 {
   auto& signals = m_context->m_signals;
@@ -97,6 +120,24 @@
   });
 }
 
+void ConfigureSocket(boost::asio::ip::tcp::socket& aSocket,
+                     const SilenceLimits& aLimits)
+{
+  // An option that the system lacks costs only the early notice.
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  int fd = aSocket.native_handle();
+  int timeout = static_cast<int>(ToMilliseconds(aLimits.m_unacknowledged));
+  int idle = std::max(1, static_cast<int>(ToSeconds(aLimits.m_probeAfter)));
+  int on = 1;
+  int probes = SilenceLimits::kProbes;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 absl::Status OpenAcceptor(boost::asio::ip::tcp::acceptor& aAcceptor,
                           const Endpoint& aListen,
                           const char* aProtocol)
--- a/lib/Net/FrameLink.cpp
+++ b/lib/Net/FrameLink.cpp
@@ -137,8 +137,7 @@
           self->Fail();
           return;
         }
-        error_code ignored;
-        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        ConfigureSocket(self->m_socket);
         self->m_connected = true;
         self->Write();
       });
@@ -207,6 +206,7 @@
           return;
         }
         if (!aError) {
+          ConfigureSocket(aSocket);
           std::make_shared<Inbound>(std::move(aSocket), self->m_receiver)
             ->ReadPrefix();
         }
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,12 +1,16 @@
 #include "persimmontally/Net/HttpClient.h"
 
 #include "LoopContext.h"
+#include "persimmontally/Net/EventLoop.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <deque>
+#include <map>
+#include <sys/socket.h>
 
 namespace persimmontally {
 
@@ -15,6 +19,75 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+struct IdleConnections
+{
+  struct Idle
+  {
+    tcp::socket m_socket;
+    Instant m_since;
+  };
+
+  explicit IdleConnections(EventLoop& aLoop)
+    : m_loop(aLoop)
+  {
+  }
+
+  std::optional<tcp::socket> Take(const Endpoint& aServer)
+  {
+    std::deque<Idle>& idle = m_byServer[aServer];
+    while (!idle.empty()) {
+      Idle newest = std::move(idle.back());
+      idle.pop_back();
+      bool isFresh =
+        m_loop.Now() < newest.m_since + HttpConnectionPool::kMaxIdle;
+      if (isFresh && IsQuiet(newest.m_socket)) {
+        ++m_reused;
+        return std::move(newest.m_socket);
+      }
+    }
+    ++m_opened;
+    return std::nullopt;
+  }
+
+  void Put(const Endpoint& aServer, tcp::socket aSocket)
+  {
+    std::deque<Idle>& idle = m_byServer[aServer];
+    idle.push_back({ std::move(aSocket), m_loop.Now() });
+    if (idle.size() > HttpConnectionPool::kMaxIdlePerServer) {
+      idle.pop_front();
+    }
+  }
+
+  void DropOld()
+  {
+    Instant oldest = m_loop.Now() - HttpConnectionPool::kMaxIdle;
+    for (auto at = m_byServer.begin(); at != m_byServer.end();) {
+      std::deque<Idle>& idle = at->second;
+      while (!idle.empty() && idle.front().m_since < oldest) {
+        idle.pop_front();
+      }
+      at = idle.empty() ? m_byServer.erase(at) : std::next(at);
+    }
+  }
+
+  /// Whether nothing came since the last answer: bytes that belong to no
+  /// request, or the server's close, spoil a connection.
+  static bool IsQuiet(tcp::socket& aSocket)
+  {
+    char byte = 0;
+    ssize_t got = ::recv(aSocket.native_handle(),
+                         &byte,
+                         sizeof byte,
+                         MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  EventLoop& m_loop;
+  std::map<Endpoint, std::deque<Idle>> m_byServer;
+  uint64_t m_reused = 0;
+  uint64_t m_opened = 0;
+};
+
 namespace {
 
 class ClientCall
@@ -23,9 +96,11 @@
 {
 public:
   ClientCall(EventLoop& aLoop,
+             std::shared_ptr<IdleConnections> aIdle,
              HttpCallTimeouts aTimeouts,
              HttpCallEvents aEvents)
-    : m_stream(aLoop.Context().m_io)
+    : m_idle(std::move(aIdle))
+    , m_stream(aLoop.Context().m_io)
     , m_timeouts(aTimeouts)
     , m_events(std::move(aEvents))
   {
@@ -37,6 +112,15 @@
     SerializeRequest(aServer, aRequest);
     m_isHead = aRequest.m_method == "HEAD";
     m_parser.skip(m_isHead);
+    m_server = aServer;
+    if (m_idle) {
+      auto kept = m_idle->Take(aServer);
+      if (kept) {
+        m_stream.socket() = std::move(*kept);
+        WriteRequest();
+        return;
+      }
+    }
     m_stream.expires_after(m_timeouts.m_connect);
     m_stream.async_connect(
       ToAsio<tcp>(aServer), [self = shared_from_this()](error_code aError) {
@@ -44,12 +128,16 @@
           self->End(absl::UnavailableError("connect: " + aError.message()));
           return;
         }
+        ConfigureSocket(self->m_stream.socket());
         self->WriteRequest();
       });
   }
 
   void Cancel() override
   {
+    if (m_ended) {
+      return;
+    }
     m_ended = true;
     m_events = {};
     m_stream.close();
@@ -73,18 +161,24 @@
   void SerializeRequest(const Endpoint& aServer, const HttpRequest& aRequest)
   {
     m_out = aRequest.m_method + " " + aRequest.m_target + " HTTP/1.1\r\n";
-    m_out += "Host: " + ToString(aServer) + "\r\n";
+    if (aRequest.Header("Host").empty()) {
+      m_out += "Host: " + ToString(aServer) + "\r\n";
+    }
     for (const HttpHeader& header : aRequest.m_headers) {
       m_out += header.m_name + ": " + header.m_value + "\r\n";
     }
-    m_out += "Content-Length: " + std::to_string(aRequest.m_body.size());
-    m_out += "\r\nConnection: close\r\n\r\n" + aRequest.m_body;
+    bool hasBody = !aRequest.m_body.empty() || (aRequest.m_method != "GET" &&
+                                                aRequest.m_method != "HEAD");
+    if (hasBody) {
+      m_out +=
+        "Content-Length: " + std::to_string(aRequest.m_body.size()) + "\r\n";
+    }
+    m_out += m_idle ? "" : "Connection: close\r\n";
+    m_out += "\r\n" + aRequest.m_body;
   }
 
   void WriteRequest()
   {
-    error_code ignored;
-    m_stream.socket().set_option(tcp::no_delay(true), ignored);
     if (m_events.m_onSend) {
       m_events.m_onSend();
     }
@@ -191,7 +285,14 @@
       return;
     }
     m_ended = true;
-    m_stream.close();
+    bool canKeep = m_idle && aStatus.ok() && m_parser.keep_alive() &&
+                   m_buffer.size() == 0;
+    if (canKeep) {
+      m_stream.expires_never();
+      m_idle->Put(m_server, m_stream.release_socket());
+    } else {
+      m_stream.close();
+    }
     auto onEnd = std::move(m_events.m_onEnd);
     m_events = {};
     if (onEnd) {
@@ -201,6 +302,8 @@
 
   static constexpr size_t kChunkBytes = 4096;
 
+  std::shared_ptr<IdleConnections> m_idle;
+  Endpoint m_server;
   beast::tcp_stream m_stream;
   HttpCallTimeouts m_timeouts;
   HttpCallEvents m_events;
@@ -223,11 +326,45 @@
                                         HttpCallEvents aEvents)
 {
   auto call =
-    std::make_shared<ClientCall>(aLoop, aTimeouts, std::move(aEvents));
+    std::make_shared<ClientCall>(aLoop, nullptr, aTimeouts, std::move(aEvents));
+  call->Start(aServer, std::move(aRequest));
+  return call;
+}
+
+HttpConnectionPool::HttpConnectionPool(EventLoop& aLoop)
+  : m_loop(aLoop)
+  , m_idle(std::make_shared<IdleConnections>(aLoop))
+{
+}
+
+HttpConnectionPool::~HttpConnectionPool() = default;
+
+std::shared_ptr<HttpCall> HttpConnectionPool::Start(const Endpoint& aServer,
+                                                    HttpRequest aRequest,
+                                                    HttpCallTimeouts aTimeouts,
+                                                    HttpCallEvents aEvents)
+{
+  auto call =
+    std::make_shared<ClientCall>(m_loop, m_idle, aTimeouts, std::move(aEvents));
   call->Start(aServer, std::move(aRequest));
   return call;
 }
 
+void HttpConnectionPool::Tick()
+{
+  m_idle->DropOld();
+}
+
+uint64_t HttpConnectionPool::Reused() const
+{
+  return m_idle->m_reused;
+}
+
+uint64_t HttpConnectionPool::Opened() const
+{
+  return m_idle->m_opened;
+}
+
 std::shared_ptr<HttpCall> StartWholeHttpCall(
   EventLoop& aLoop,
   const Endpoint& aServer,
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -26,6 +26,7 @@
 {
   HttpLimits m_limits;
   HttpServer::Handler m_handler;
+  bool m_keepsConnections = true;
   size_t m_openConnections = 0;
 };
 
@@ -40,14 +41,14 @@
     , m_server(std::move(aServer))
   {
     ++m_server->m_openConnections;
-    error_code ignored;
-    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    ConfigureSocket(m_stream.socket(),
+                    { m_server->m_limits.m_writeStallTimeout, seconds(5) });
   }
   ~Connection() { --m_server->m_openConnections; }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void ReadRequest();
+  void WaitForRequest();
 
   // The answer's side, called through `Writer`.
   void SendWhole(uint64_t aExchange, HttpResponse aResponse);
@@ -64,7 +65,9 @@
   {
     return aExchange == m_exchange && !m_closed;
   }
-  void StartReadTimer();
+  void ReadRequest();
+  void StartReadTimer(Duration aLimit);
+  void Drain();
   void HandleRequest();
   void RefuseUnreadable(const error_code& aError);
   void AppendHead(int aStatus,
@@ -86,6 +89,7 @@
   uint64_t m_exchange = 0;
   bool m_keepAlive = false;
   bool m_isHead = false;
+  bool m_isDraining = false;
   bool m_closed = false;
   bool m_finishing = false;
   bool m_writeRunning = false;
@@ -140,13 +144,34 @@
 
 } // namespace
 
+/// Waits for the first byte of a request, for as long as an idle connection is
+/// kept.
+void Connection::WaitForRequest()
+{
+  if (m_buffer.size() > 0) {
+    ReadRequest();
+    return;
+  }
+  StartReadTimer(m_server->m_limits.m_idleTimeout);
+  m_stream.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](error_code aError) {
+      self->m_readTimer.cancel();
+      if (aError || self->m_isReadLate || self->m_closed) {
+        self->Close();
+        return;
+      }
+      self->ReadRequest();
+    });
+}
+
 void Connection::ReadRequest()
 {
   m_parser.emplace();
   m_parser->header_limit(
     static_cast<uint32_t>(m_server->m_limits.m_maxHeaderBytes));
   m_parser->body_limit(m_server->m_limits.m_maxBodyBytes);
-  StartReadTimer();
+  StartReadTimer(m_server->m_limits.m_headerTimeout);
   http::async_read(m_stream,
                    m_buffer,
                    *m_parser,
@@ -165,10 +190,10 @@
 
 /// Ends a read that takes too long. The stream's own expiry would close the
 /// socket, so that the caller could not be told.
-void Connection::StartReadTimer()
+void Connection::StartReadTimer(Duration aLimit)
 {
   m_isReadLate = false;
-  m_readTimer.expires_after(m_server->m_limits.m_headerTimeout);
+  m_readTimer.expires_after(aLimit);
   m_readTimer.async_wait([self = shared_from_this()](error_code aError) {
     if (aError || self->m_inExchange || self->m_closed) {
       return;
@@ -222,7 +247,7 @@
       { std::string(field.name_string()), std::string(field.value()) });
   }
   request.m_body = std::move(message.body());
-  m_keepAlive = message.keep_alive();
+  m_keepAlive = message.keep_alive() && m_server->m_keepsConnections;
   m_isHead = message.method() == http::verb::head;
   ++m_exchange;
   m_inExchange = true;
@@ -265,6 +290,7 @@
     m_pending.append(header.m_value).append("\r\n");
   }
   m_pending.append(aLength);
+  m_keepAlive = m_keepAlive && m_server->m_keepsConnections;
   m_pending.append(m_keepAlive ? "" : "Connection: close\r\n").append("\r\n");
 }
 
@@ -376,15 +402,37 @@
   m_inExchange = false;
   m_onClosed = nullptr;
   m_onDrained = nullptr;
+  // Ends the wait that watches for a caller's leaving.
+  m_stream.cancel();
   if (!m_keepAlive) {
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    Close();
+    Drain();
     return;
   }
-  // Ends the wait that watches for a caller's leaving.
-  m_stream.cancel();
-  ReadRequest();
+  WaitForRequest();
+}
+
+/// Reads and drops what the caller still sends: closing with unread bytes
+/// would reset the connection, and the answer could be lost with it.
+void Connection::Drain()
+{
+  constexpr Duration kDrainTime = seconds(1);
+  constexpr size_t kDrainBytes = 16384;
+  if (!m_isDraining) {
+    m_isDraining = true;
+    StartReadTimer(kDrainTime);
+  }
+  m_buffer.clear();
+  m_stream.async_read_some(
+    m_buffer.prepare(kDrainBytes),
+    [self = shared_from_this()](error_code aError, size_t) {
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->Drain();
+    });
 }
 
 void Connection::Close()
@@ -422,7 +470,7 @@
         }
         if (!aError) {
           std::make_shared<Connection>(std::move(aSocket), self->m_state)
-            ->ReadRequest();
+            ->WaitForRequest();
         }
         self->Accept();
       });
@@ -453,6 +501,16 @@
   return m_impl->m_acceptor.local_endpoint(ignored).port();
 }
 
+void HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  m_impl->m_state->m_limits = aLimits;
+}
+
+void HttpServer::StopKeepingConnections()
+{
+  m_impl->m_state->m_keepsConnections = false;
+}
+
 void HttpServer::StopAccepting()
 {
   error_code ignored;
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -263,8 +263,10 @@
 GenerationSize Dispatcher::SizeOf(const Running& aRunning) const
 {
   const Ticket& ticket = aRunning.m_ticket;
-  return { ticket.m_model,    ticket.m_account,   ticket.m_promptTokens,
-           aRunning.m_tokens, ticket.m_maxTokens, ticket.m_trueTokens };
+  return { ticket.m_model,      ticket.m_account,
+           ticket.m_promptTokens, aRunning.m_tokens,
+           ticket.m_maxTokens,    ticket.m_expectedTokens,
+           ticket.m_trueTokens };
 }
 
 const Occupancy& Dispatcher::RefreshOccupancy(Instant aNow,
@@ -438,6 +440,7 @@
                               aTicket.m_promptTokens,
                               0,
                               aTicket.m_maxTokens,
+                              aTicket.m_expectedTokens,
                               aTicket.m_trueTokens });
 }
 
@@ -566,6 +569,16 @@
   ++aLane.m_grantedInTick[rank];
 }
 
+UpstreamId Dispatcher::PickTarget(Instant aNow,
+                                  const UpstreamTable& aTable,
+                                  const Ticket& aTicket)
+{
+  Lane& lane = m_lanes[KeyOf(aTicket)];
+  ListUpstreams(aNow, aTable, aTicket, lane);
+  auto grant = Place(aNow, lane.m_upstreams, lane, aTicket);
+  return grant ? grant->m_upstream : UpstreamId();
+}
+
 void Dispatcher::NoteDrain(Instant aNow, Lane& aLane)
 {
   double elapsed = ToSeconds(aNow - aLane.m_tickedAt);
--- a/lib/State/StateMachine.cpp
+++ b/lib/State/StateMachine.cpp
@@ -197,6 +197,25 @@
   return result;
 }
 
+/// Resent and overtaken versions are accepted and change nothing.
+CommandResult StateMachine::ApplyCommand(uint64_t aIndex,
+                                         const PutCatalog& aCommand)
+{
+  if (aCommand.m_version > m_catalog.m_version) {
+    m_catalog = { aCommand.m_version, aCommand.m_document };
+    m_planIndex = aIndex;
+  }
+  return ApplyCommand(aIndex, ReadCatalog());
+}
+
+CommandResult StateMachine::ApplyCommand(uint64_t, const ReadCatalog&)
+{
+  CommandResult result;
+  result.m_status = CommandStatus::Accepted;
+  result.m_version = m_catalog.m_version;
+  return result;
+}
+
 void StateMachine::ForgetOld()
 {
   auto retentionMs = static_cast<uint64_t>(ToMilliseconds(m_retention));
@@ -225,6 +244,7 @@
   state.m_planIndex = m_planIndex;
   state.m_plans = m_plans;
   state.m_accounts = m_accounts;
+  state.m_catalog = m_catalog;
   for (const auto& [id, change] : m_changes) {
     state.m_changes.push_back(change);
   }
@@ -247,6 +267,7 @@
   m_planIndex = state->m_planIndex;
   m_plans = state->m_plans;
   m_accounts = state->m_accounts;
+  m_catalog = state->m_catalog;
   m_changes.clear();
   m_orders.clear();
   m_leases.clear();
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -50,20 +50,37 @@
   AdoptSnapshot(snapshot);
 }
 
+/// Names of the founding hosts; empty while one of the endpoints is unknown.
+std::vector<HostId> StateService::BootstrapHosts() const
+{
+  std::vector<HostId> hosts = m_options.m_bootstrapHosts;
+  for (const Endpoint& endpoint : m_options.m_bootstrapPeers) {
+    auto peer = std::find_if(
+      m_peers.begin(), m_peers.end(), [&](const StatePeer& aPeer) {
+        return aPeer.m_peer == endpoint;
+      });
+    if (peer == m_peers.end()) {
+      return {};
+    }
+    hosts.push_back(peer->m_host);
+  }
+  return hosts;
+}
+
 /// Founds the group on the first of the hosts named for it, once all of them
 /// are up with new data folders. The others join through the usual repair, so
 /// an emptied folder can never found a second group beside a living one.
 void StateService::TryBootstrap(Instant)
 {
-  if (!m_store || m_raft || m_options.m_bootstrapHosts.empty()) {
+  if (!m_store || m_raft) {
     return;
   }
-  HostId first = *std::min_element(m_options.m_bootstrapHosts.begin(),
-                                   m_options.m_bootstrapHosts.end());
-  if (first != m_options.m_host) {
+  std::vector<HostId> founders = BootstrapHosts();
+  if (founders.empty() ||
+      *std::min_element(founders.begin(), founders.end()) != m_options.m_host) {
     return;
   }
-  for (const HostId& host : m_options.m_bootstrapHosts) {
+  for (const HostId& host : founders) {
     if (host == m_options.m_host) {
       continue;
     }
@@ -230,6 +247,7 @@
     }
     CommandResult result = m_machine.Apply(entry);
     m_appliedIndex = entry.m_index;
+    m_appliedBytes += entry.m_data.size();
     auto local = m_local.find(entry.m_index);
     if (local == m_local.end()) {
       continue;
@@ -251,8 +269,9 @@
 
 void StateService::CompactIfLong()
 {
-  if (m_raft->LogSize() < m_options.m_compactAfter ||
-      m_appliedIndex <= m_raft->LastSnapshot().m_index) {
+  bool isLong = m_raft->LogSize() >= m_options.m_compactAfter ||
+                m_appliedBytes >= m_options.m_compactAfterBytes;
+  if (!isLong || m_appliedIndex <= m_raft->LastSnapshot().m_index) {
     return;
   }
   Snapshot snapshot;
@@ -271,6 +290,7 @@
   if (!m_failure.ok()) {
     return;
   }
+  m_appliedBytes = 0;
   m_raft->Compact(snapshot);
   SendRaft(std::move(ready.m_messages));
   ApplyCommitted(ready.m_committed);
@@ -288,7 +308,23 @@
   plans.m_index = m_machine.PlanIndex();
   plans.m_plans = m_machine.List(ListKind::Plans);
   plans.m_accounts = m_machine.List(ListKind::Accounts);
+  plans.m_catalog = m_machine.Catalog();
   ShowPlans(std::move(plans));
+  if (IsLeader()) {
+    PushLists();
+  }
+}
+
+/// Sends new lists to the hosts that do not follow the log, so that a change
+/// is in force before they hear of it by gossip and ask.
+void StateService::PushLists()
+{
+  for (const StatePeer& peer : m_peers) {
+    if (peer.m_isAlive && peer.m_disk.Empty() &&
+        peer.m_host != m_options.m_host) {
+      m_sends.push_back({ peer.m_peer, m_plans });
+    }
+  }
 }
 
 /// Puts lists in force. A host with a disk stores them first, so that it never
@@ -306,7 +342,8 @@
   m_plans = std::move(aPlans);
   Report("lists_in_force",
          "plans " + std::to_string(m_plans.m_plans.m_version) + " accounts " +
-           std::to_string(m_plans.m_accounts.m_version));
+           std::to_string(m_plans.m_accounts.m_version) + " catalog " +
+           std::to_string(m_plans.m_catalog.m_version));
 }
 
 void StateService::PullLists(Instant aNow)
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -47,12 +47,47 @@
     { "host", "name", "name", "", "unique name of this host" },
     { "host", "data_centre", "name", "", "data centre the host stands in" },
     { "host", "region", "name", "", "region of the data centre" },
-    { "listen", "http", "endpoint", "", "callers, upstreams and operators" },
+    { "listen",
+      "http",
+      "endpoint, optional",
+      "",
+      "the product's own API, where no routed traffic is served" },
     { "listen", "peer", "endpoint", "", "UDP and TCP for other hosts" },
+    { "listen",
+      "callers",
+      "endpoint, optional",
+      "",
+      "callers on the routes of the catalog" },
+    { "listen",
+      "readiness",
+      "endpoint, optional",
+      "",
+      "answers whether the host takes callers" },
+    { "listen",
+      "control",
+      "endpoint, optional",
+      "",
+      "upstreams and operators of routed traffic" },
+    { "listen", "metrics", "endpoint, optional", "", "counters as text" },
     { "peers", "seeds", "endpoints", "", "peer endpoints to join through" },
+    { "peers",
+      "seeds_have_own_port",
+      "enum yes|no",
+      "no",
+      "whether the peer port of this host replaces the ports of the seeds" },
     { "state", "data_dir", "path", "", "data folder; only hosts with a disk" },
     { "state", "bootstrap_hosts", "names", "", "hosts of the first group" },
+    { "state",
+      "found_group",
+      "enum yes|no|true|false",
+      "no",
+      "whether the hosts of the seeds found the first group" },
     { "state", "voters", "int 1 7", "3", "disk hosts that vote" },
+    { "state",
+      "tolerated_losses",
+      "int 0 3",
+      "0",
+      "disks that may be lost at once; above 0 it sets the voters" },
     { "state",
       "replace_voter_after_s",
       "int 1 86400",
@@ -66,6 +101,11 @@
     { "keys", "admin_key_file", "keyfile", "", "key of the operators" },
     { "keys", "upstream_key_file", "keyfile", "", "key of the upstreams" },
     { "keys", "peer_key_file", "keyfile", "", "key between hosts" },
+    { "keys",
+      "peer_key",
+      "text",
+      "",
+      "key between hosts, where files cannot be handed out" },
     { "log",
       "level",
       "enum debug|info|warning|error",
@@ -175,6 +215,18 @@
     return *endpoint;
   }
 
+  Endpoint OptionalEndpoint(const char* aSection, const char* aKey)
+  {
+    return Text(aSection, aKey).empty() ? Endpoint()
+                                        : OneEndpoint(aSection, aKey);
+  }
+
+  bool Flag(const char* aSection, const char* aKey)
+  {
+    std::string text = OneOf(aSection, aKey);
+    return text == "yes" || text == "true";
+  }
+
   std::vector<Endpoint> Endpoints(const char* aSection, const char* aKey)
   {
     std::vector<Endpoint> endpoints;
@@ -226,9 +278,20 @@
     return text;
   }
 
+  std::string PeerKey()
+  {
+    std::string key = Text("keys", "peer_key");
+    if (key.empty()) {
+      return KeyFile("keys", "peer_key_file");
+    }
+    if (key.size() < kLeastKeyBytes) {
+      Fault("keys", "peer_key", "the key is shorter than 16 characters");
+    }
+    return key;
+  }
+
   std::string KeyFile(const char* aSection, const char* aKey)
   {
-    constexpr size_t kLeastKeyBytes = 16;
     std::string path = Text(aSection, aKey);
     std::ifstream in(path);
     std::string key;
@@ -259,6 +322,8 @@
   const std::string& Faults() const { return m_faults; }
 
 private:
+  static constexpr size_t kLeastKeyBytes = 16;
+
   static std::string Path(const SettingRow& aRow)
   {
     return std::string(aRow.m_section) + "." + std::string(aRow.m_key);
@@ -347,18 +412,36 @@
   out.m_host = HostId(reader.Name("host", "name"));
   out.m_dataCentre = DataCentreId(reader.Name("host", "data_centre"));
   out.m_region = RegionId(reader.Name("host", "region"));
-  out.m_httpListen = reader.OneEndpoint("listen", "http");
+  out.m_callersListen = reader.OptionalEndpoint("listen", "callers");
+  out.m_readinessListen = reader.OptionalEndpoint("listen", "readiness");
+  out.m_controlListen = reader.OptionalEndpoint("listen", "control");
+  out.m_metricsListen = reader.OptionalEndpoint("listen", "metrics");
+  out.m_httpListen = IsRoutedHost(out) ? Endpoint()
+                                       : reader.OneEndpoint("listen", "http");
   out.m_peerListen = reader.OneEndpoint("listen", "peer");
   out.m_seeds = reader.Endpoints("peers", "seeds");
+  if (reader.Flag("peers", "seeds_have_own_port")) {
+    for (Endpoint& seed : out.m_seeds) {
+      seed.m_port = out.m_peerListen.m_port;
+    }
+  }
   out.m_dataDir = reader.Text("state", "data_dir");
   out.m_bootstrapHosts = reader.Names("state", "bootstrap_hosts");
+  out.m_foundGroup = reader.Flag("state", "found_group");
   out.m_voters = reader.Integer("state", "voters");
+  int losses = reader.Integer("state", "tolerated_losses");
+  if (losses > 0) {
+    // The fewest voters of which a majority survives the losses.
+    out.m_voters = 2 * losses + 1;
+  }
   out.m_replaceVoterAfter =
     seconds(reader.Integer("state", "replace_voter_after_s"));
   out.m_orderRetention = seconds(reader.Integer("state", "order_retention_s"));
-  out.m_adminKey = reader.KeyFile("keys", "admin_key_file");
-  out.m_upstreamKey = reader.KeyFile("keys", "upstream_key_file");
-  out.m_peerKey = reader.KeyFile("keys", "peer_key_file");
+  if (!IsRoutedHost(out)) {
+    out.m_adminKey = reader.KeyFile("keys", "admin_key_file");
+    out.m_upstreamKey = reader.KeyFile("keys", "upstream_key_file");
+  }
+  out.m_peerKey = reader.PeerKey();
   out.m_logLevel = ParseLogLevel(reader.OneOf("log", "level"));
   out.m_logFormat =
     reader.OneOf("log", "format") == "json" ? LogFormat::Json : LogFormat::Text;
--- a/tools/persimmontallyd/main.cpp
+++ b/tools/persimmontallyd/main.cpp
@@ -1,10 +1,13 @@
-/// Entry daemon: the same on every entry host.
+/// Daemon of every host of the system; its settings say what it serves.
 
 #include "persimmontally/Daemon/EntryHost.h"
+#include "persimmontally/Daemon/RoutedHost.h"
 #include "persimmontally/Net/EventLoop.h"
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Settings.h"
 
+#include "platform/PlatformProtocol.h"
+
 #include <gflags/gflags.h>
 
 #include <iostream>
@@ -15,6 +18,32 @@
 
 using namespace persimmontally;
 
+template<class Host>
+static int RunHost(EventLoop& aLoop, Host& aHost)
+{
+  absl::Status started = aHost.Start();
+  if (!started.ok()) {
+    std::cerr << "cannot start: " << started.message() << "\n";
+    return 1;
+  }
+  aLoop.OnTerminate([&] { aHost.BeginShutdown(); });
+  aLoop.Run();
+  return aHost.Failure().ok() ? 0 : 1;
+}
+
+/// A settings file with faults is reported and leaves the present settings.
+static void ReloadSettings(RoutedHost& aHost)
+{
+  auto settings = LoadSettings(FLAGS_config);
+  if (!settings.ok()) {
+    WriteLog(LogLevel::Error,
+             "settings_refused",
+             { { "reason", std::string(settings.status().message()) } });
+    return;
+  }
+  aHost.Reload(*settings);
+}
+
 int main(int argc, char** argv)
 {
   gflags::SetUsageMessage("persimmontallyd --config FILE [--check_config]");
@@ -34,14 +63,16 @@
   }
   InitLog(
     settings->m_logLevel, settings->m_logFormat, settings->m_host.Value());
+  if (IsRoutedHost(*settings)) {
+    platform::PlatformProtocol protocol;
+    EventLoop loop;
+    RoutedHost host(loop, *settings, protocol);
+    loop.OnReload([&] { ReloadSettings(host); });
+    return RunHost(loop, host);
+  }
   EventLoop loop;
   EntryHost host(loop, *settings);
-  absl::Status started = host.Start();
-  if (!started.ok()) {
-    std::cerr << "cannot start: " << started.message() << "\n";
-    return 1;
-  }
-  loop.OnTerminate([&] { host.BeginShutdown(); });
-  loop.Run();
-  return host.Failure().ok() ? 0 : 1;
+  // Nothing of the product's own API changes while it runs.
+  loop.OnReload([] { WriteLog(LogLevel::Info, "settings_reload_ignored", {}); });
+  return RunHost(loop, host);
 }
