--- a/lib/Forwarding/ForwardMoves.cpp
+++ b/lib/Forwarding/ForwardMoves.cpp
@@ -78,8 +78,9 @@
   bool isLong = ExpectedTokens() > soFar + kTokensWithinNotice ||
                 (soFar > 0 && ExpectedTokens() <= soFar &&
                  m_request.m_maxOutputTokens > soFar + kTokensWithinNotice);
-  return m_state == State::Streaming && (canMove || HasBackup()) && !m_move &&
-         isLong && m_gateway.Loop().Now() >= m_nextMoveTry;
+  bool isMoving = m_move || m_resume;
+  return m_state == State::Streaming && (canMove || HasBackup()) &&
+         !isMoving && isLong && m_gateway.Loop().Now() >= m_nextMoveTry;
 }
 
 void ForwardFlow::LeaveUpstream()
@@ -168,6 +169,7 @@
 {
   m_resume->m_lastEventId = m_events.LastId();
   m_isSourceDone = false;
+  m_state = State::Moving;
   ++m_moves;
   WriteLog(LogLevel::Info,
            "resume",
