--- a/lib/State/RaftNode.cpp
+++ b/lib/State/RaftNode.cpp
@@ -494,7 +494,12 @@
   m_heardLeader = true;
   m_heardLeaderAt = aNow;
   const Snapshot& snapshot = aBody.m_snapshot;
-  if (snapshot.m_index > m_commitIndex) {
+  const LogEntry* last = EntryAt(snapshot.m_index);
+  if (last != nullptr && last->m_term == snapshot.m_term) {
+    // The log has all that the snapshot covers. What follows may have been
+    // acknowledged, so that it must stay.
+    CommitTo(snapshot.m_index);
+  } else if (snapshot.m_index > m_commitIndex) {
     m_snapshot = snapshot;
     m_entries.clear();
     m_configs = { { snapshot.m_index, snapshot.m_config } };
