[Admission] Keep the order of a generation's sizes

Cause: the new estimate stood before the true length, so aggregates of the experiments and of a test filled the wrong member (AdmissionTests failed). Change: it stands last.

--- a/include/persimmontally/Admission/MemoryForecast.h
+++ b/include/persimmontally/Admission/MemoryForecast.h
@@ -22,10 +22,10 @@
   uint32_t m_promptTokens = 0;
   uint32_t m_tokensSoFar = 0;
   uint32_t m_maxTokens = 0;
-  /// The caller's estimate of the output; 0 without one.
-  uint32_t m_expectedTokens = 0;
   /// Known only to the oracle baseline; 0 otherwise.
   uint32_t m_trueTokens = 0;
+  /// The caller's estimate of the output; 0 without one.
+  uint32_t m_expectedTokens = 0;
 };
 
 /// Sum over generations of the mean and variance of the tokens that each holds
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -290,9 +290,10 @@
 GenerationSize Dispatcher::SizeOf(const Running& aRunning) const
 {
   const Ticket& ticket = aRunning.m_ticket;
-  return { ticket.m_model,     ticket.m_account,   ticket.m_promptTokens,
-           aRunning.m_tokens,  ticket.m_maxTokens, ticket.m_expectedTokens,
-           ticket.m_trueTokens };
+  return { ticket.m_model,        ticket.m_account,
+           ticket.m_promptTokens, aRunning.m_tokens,
+           ticket.m_maxTokens,    ticket.m_trueTokens,
+           ticket.m_expectedTokens };
 }
 
 const Occupancy& Dispatcher::RefreshOccupancy(Instant aNow,
@@ -466,8 +467,8 @@
                               aTicket.m_promptTokens,
                               0,
                               aTicket.m_maxTokens,
-                              aTicket.m_expectedTokens,
-                              aTicket.m_trueTokens });
+                              aTicket.m_trueTokens,
+                              aTicket.m_expectedTokens });
 }
 
 // Placement.
