[Membership] Give an address to the upstream that started last there

Change: a row of a later start ends the row that had its address; a late announcement of an earlier start is dropped; an answer from another upstream ejects the expected one at once.

--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -70,6 +70,8 @@
   bool m_isGenuine = false;
   /// Whether the upstream states that it did not run the request.
   bool m_isNotRun = false;
+  /// Whether another upstream is at the address now.
+  bool m_isMisdirected = false;
   /// Headers for the caller.
   HttpHeaders m_headers;
 };
--- a/include/persimmontally/Membership/UpstreamTable.h
+++ b/include/persimmontally/Membership/UpstreamTable.h
@@ -32,7 +32,8 @@
   Changed,
 };
 
-/// Upstreams by id. A row counts for the length of a lease after its announcement;
+/// Upstreams by id. Of two upstreams at one address only the one that started
+/// later can be there. A row counts for the length of a lease after its announcement;
 /// `Leaving` and `Gone` win over `Serving` within one incarnation.
 class UpstreamTable
 {
@@ -67,7 +68,11 @@
 
 private:
   Duration m_lease;
+  bool TakeAddress(Instant aNow, const UpstreamRow& aRow);
+
   std::map<UpstreamId, UpstreamEntry> m_rows;
+  /// Upstream that started last at each address.
+  std::map<Endpoint, UpstreamId> m_byEndpoint;
   uint64_t m_version = 1;
 };
 
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -399,6 +399,12 @@
 void ForwardFlow::OnNotRun()
 {
   m_gateway.Counters().Add("turned_away_total");
+  if (m_head.m_isMisdirected) {
+    // The upstream is gone for certain: two stalls eject it at once.
+    HealthTable& health = m_gateway.Placement().Local().Health();
+    health.RecordStall(m_gateway.Loop().Now(), m_upstream);
+    health.RecordStall(m_gateway.Loop().Now(), m_upstream);
+  }
   if (m_sends >= m_target.m_route->m_maxAttempts ||
       !TryAgain("turned away", true)) {
     m_wasSent = m_sends > 1;
--- a/lib/Membership/UpstreamTable.cpp
+++ b/lib/Membership/UpstreamTable.cpp
@@ -12,9 +12,36 @@
   return aLeft == aRight;
 }
 
+/// Ends the upstream that had the address before; false if the address belongs
+/// to one that started later, so that the row must be an old one.
+bool UpstreamTable::TakeAddress(Instant aNow, const UpstreamRow& aRow)
+{
+  UpstreamId& holder = m_byEndpoint[aRow.m_endpoint];
+  auto other = m_rows.find(holder);
+  if (holder != aRow.m_id && other != m_rows.end()) {
+    const UpstreamRow& known = other->second.m_row;
+    bool isAtAddress = known.m_endpoint == aRow.m_endpoint &&
+                       known.m_state != UpstreamState::Gone;
+    if (isAtAddress && known.m_incarnation > aRow.m_incarnation) {
+      return false;
+    }
+    if (isAtAddress && known.m_incarnation < aRow.m_incarnation) {
+      MarkGone(aNow, holder);
+    }
+  }
+  holder = aRow.m_id;
+  return true;
+}
+
 UpstreamMerge UpstreamTable::Merge(Instant aNow, const UpstreamRow& aRow)
 {
   auto at = m_rows.find(aRow.m_id);
+  bool isNewLife =
+    at == m_rows.end() || at->second.m_row.m_incarnation < aRow.m_incarnation;
+  if (isNewLife && aRow.m_state != UpstreamState::Gone &&
+      !TakeAddress(aNow, aRow)) {
+    return UpstreamMerge::Stale;
+  }
   if (at == m_rows.end()) {
     m_rows[aRow.m_id] = { aRow, aNow + m_lease, aNow };
     ++m_version;
@@ -76,6 +103,9 @@
   size_t erased = std::erase_if(m_rows, [&](const auto& aItem) {
     return aItem.second.m_leaseEnd + kForgetAfter < aNow;
   });
+  std::erase_if(m_byEndpoint, [&](const auto& aItem) {
+    return !m_rows.contains(aItem.second);
+  });
   m_version += erased > 0 ? 1 : 0;
 }
 
