--- a/include/persimmontally/Support/Log.h
+++ b/include/persimmontally/Support/Log.h
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONTALLY_SUPPORT_LOG_H
 #define PERSIMMONTALLY_SUPPORT_LOG_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -59,8 +60,17 @@
   bool m_isNumber = false;
 };
 
-/// Sets the process's log up: level, text or JSON lines, on standard error.
+/// Lines of one event that are written in a second; what comes beyond is
+/// counted, and the next line of the event tells how many were left out.
+inline constexpr uint32_t kMaxLinesPerSecond = 300;
+
+/// Sets the process's log up: level, text or JSON lines, on standard output.
+/// A reader that does not keep up loses lines; the process never waits for it.
 void InitLog(LogLevel aLevel, LogFormat aFormat, std::string_view aHost);
+void SetLogLevel(LogLevel aLevel);
+/// Lines that were left out since the start, over the rate or not taken by the
+/// reader.
+uint64_t LostLogLines();
 
 /// Whether a line of the level would be written, for callers whose fields are
 /// costly to make.
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -153,6 +153,7 @@
   m_membership.SetDisk(m_state->Disk(), m_state->Group());
   FlushState();
   FlushMembership();
+  m_metrics.SetGauge("lost_log_lines", static_cast<double>(LostLogLines()));
   m_metrics.SetGauge("log_syncs", static_cast<double>(m_state->SyncCount()));
 }
 
@@ -267,6 +268,7 @@
            "settings_reloaded",
            { { "seeds", aSettings.m_seeds.size() } });
   m_settings.m_seeds = aSettings.m_seeds;
+  SetLogLevel(aSettings.m_logLevel);
   m_membership.SetSeeds(aSettings.m_seeds);
 }
 
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -1,17 +1,20 @@
 #include "persimmontally/Support/Log.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <ctime>
-#include <iostream>
+#include <map>
+#include <optional>
+#include <poll.h>
+#include <unistd.h>
 
 namespace persimmontally {
 
@@ -25,6 +28,61 @@
 };
 
 LogSettings gLogSettings;
+uint64_t gLostLines = 0;
+
+/// Writes lines to standard output where it takes them at once.
+class OutputBackend
+  : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  static void consume(const boost::log::record_view&, std::string aLine)
+  {
+    // A pipe that can be written to takes this much without blocking.
+    constexpr size_t kMaxLineBytes = 4096;
+    aLine.resize(std::min(aLine.size(), kMaxLineBytes - 1));
+    aLine.push_back('\n');
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    bool isTaken = ::poll(&output, 1, 0) == 1 &&
+                   ::write(STDOUT_FILENO, aLine.data(), aLine.size()) ==
+                     static_cast<ssize_t>(aLine.size());
+    gLostLines += isTaken ? 0 : 1;
+  }
+};
+
+/// Bounds the lines of each event in each second.
+class LineLimiter
+{
+public:
+  /// Lines left out before this one, or nothing if it is left out as well.
+  std::optional<uint64_t> Admit(std::string_view aEvent)
+  {
+    auto now = std::chrono::steady_clock::now();
+    Row& row = m_rows.try_emplace(std::string(aEvent)).first->second;
+    if (now >= row.m_windowEnd) {
+      row.m_windowEnd = now + std::chrono::seconds(1);
+      row.m_lines = 0;
+    }
+    if (row.m_lines >= kMaxLinesPerSecond) {
+      ++row.m_leftOut;
+      ++gLostLines;
+      return std::nullopt;
+    }
+    ++row.m_lines;
+    return std::exchange(row.m_leftOut, 0);
+  }
+
+private:
+  struct Row
+  {
+    std::chrono::steady_clock::time_point m_windowEnd;
+    uint32_t m_lines = 0;
+    uint64_t m_leftOut = 0;
+  };
+
+  std::map<std::string, Row> m_rows;
+};
+
+LineLimiter gLimiter;
 
 } // namespace
 
@@ -107,14 +165,19 @@
 void InitLog(LogLevel aLevel, LogFormat aFormat, std::string_view aHost)
 {
   gLogSettings = LogSettings{ aLevel, aFormat, std::string(aHost) };
-  using Backend = boost::log::sinks::text_ostream_backend;
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  backend->auto_flush(true);
-  using Sink = boost::log::sinks::synchronous_sink<Backend>;
+  using Sink = boost::log::sinks::synchronous_sink<OutputBackend>;
   boost::log::core::get()->remove_all_sinks();
-  boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+  boost::log::core::get()->add_sink(boost::make_shared<Sink>());
+}
+
+void SetLogLevel(LogLevel aLevel)
+{
+  gLogSettings.m_level = aLevel;
+}
+
+uint64_t LostLogLines()
+{
+  return gLostLines;
 }
 
 bool IsLogged(LogLevel aLevel)
@@ -129,10 +192,18 @@
   if (!IsLogged(aLevel)) {
     return;
   }
+  auto leftOut = gLimiter.Admit(aEvent);
+  if (!leftOut) {
+    return;
+  }
+  std::vector<LogField> fields = aFields;
+  if (*leftOut > 0) {
+    fields.emplace_back("left_out", *leftOut);
+  }
   static boost::log::sources::logger logger;
   BOOST_LOG(logger) << (gLogSettings.m_format == LogFormat::Json
-                          ? FormatJson(aLevel, aEvent, aFields)
-                          : FormatText(aLevel, aEvent, aFields));
+                          ? FormatJson(aLevel, aEvent, fields)
+                          : FormatText(aLevel, aEvent, fields));
 }
 
 } // namespace persimmontally
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -416,8 +416,8 @@
   out.m_readinessListen = reader.OptionalEndpoint("listen", "readiness");
   out.m_controlListen = reader.OptionalEndpoint("listen", "control");
   out.m_metricsListen = reader.OptionalEndpoint("listen", "metrics");
-  out.m_httpListen = IsRoutedHost(out) ? Endpoint()
-                                       : reader.OneEndpoint("listen", "http");
+  out.m_httpListen =
+    IsRoutedHost(out) ? Endpoint() : reader.OneEndpoint("listen", "http");
   out.m_peerListen = reader.OneEndpoint("listen", "peer");
   out.m_seeds = reader.Endpoints("peers", "seeds");
   if (reader.Flag("peers", "seeds_have_own_port")) {
--- /dev/null
+++ b/unittests/Forwarding/EventSplitterTest.cpp
@@ -0,0 +1,80 @@
+/// Streams cut into whole events.
+
+#include "persimmontally/Forwarding/EventSplitter.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace persimmontally;
+
+TEST_CASE("only whole events pass, with their own bytes")
+{
+  struct Row
+  {
+    std::vector<std::string> m_pieces;
+    std::string m_passed;
+    std::string m_rest;
+    std::string m_lastId;
+    bool m_hasGap;
+  };
+  for (const Row& row : std::vector<Row>{
+         { { "id: 1\ndata: a\n\n" }, "id: 1\ndata: a\n\n", "", "1", false },
+         { { "id: 1\nda", "ta: a\n", "\n" },
+           "id: 1\ndata: a\n\n",
+           "",
+           "1",
+           false },
+         { { "id: 1\ndata: a\n\nid: 2\nda" },
+           "id: 1\ndata: a\n\n",
+           "id: 2\nda",
+           "1",
+           false },
+         { { "id:1\r\ndata: a\r\n\r\n" },
+           "id:1\r\ndata: a\r\n\r\n",
+           "",
+           "1",
+           false },
+         { { "id: 1\n\nid: 1\n\nid: 2\n\n" },
+           "id: 1\n\nid: 2\n\n",
+           "",
+           "2",
+           false },
+         { { "id: 1\n\nid: 3\n\n" }, "id: 1\n\nid: 3\n\n", "", "3", true },
+         { { "data: a\n\n" }, "data: a\n\n", "", "", false },
+         { { "id: x\n\nid: x\n\n" }, "id: x\n\nid: x\n\n", "", "x", false },
+       }) {
+    CAPTURE(row.m_pieces.front());
+    EventSplitter splitter;
+    std::string passed;
+    for (const std::string& piece : row.m_pieces) {
+      passed += splitter.Feed(piece);
+    }
+    CHECK(passed == row.m_passed);
+    CHECK(splitter.Rest() == row.m_rest);
+    CHECK(splitter.LastId() == row.m_lastId);
+    CHECK(splitter.HasGap() == row.m_hasGap);
+  }
+}
+
+TEST_CASE("a stream that goes on elsewhere repeats nothing")
+{
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\n\nid: 2\n\nid: 3\ndat") == "id: 1\n\nid: 2\n\n");
+  splitter.Restart();
+  CHECK(splitter.Feed("id: 2\n\nid: 3\n\n") == "id: 3\n\n");
+  CHECK(splitter.Events() == 3);
+  CHECK(!splitter.HasGap());
+}
+
+TEST_CASE("an event without an end fails the stream")
+{
+  EventSplitter splitter;
+  std::string piece(EventSplitter::kMaxEventBytes / 2, 'x');
+  splitter.Feed(piece);
+  splitter.Feed(piece);
+  CHECK(!splitter.HasFailed());
+  splitter.Feed("x");
+  CHECK(splitter.HasFailed());
+  CHECK(splitter.Feed("\n\n").empty());
+}
--- /dev/null
+++ b/unittests/Platform/PlatformTest.cpp
@@ -0,0 +1,349 @@
+/// The adapter for the users' platform: each message in and out.
+
+#include "platform/CatalogDocument.h"
+#include "platform/PlatformProtocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace persimmontally;
+using namespace persimmontally::platform;
+
+static const std::string kDocument = R"({"version":7,"routes":[
+{"name":"r","host":"h.example","path-prefix":"/p/","kind":"stream",
+ "timeout-ms":6000,"slo-ms":1500,"priority":2,"service":"e","attempts":1,
+ "public":false,"sticky":true,"gap-target-ms":180,"new-field":[1]},
+{"name":"q","host":"h.example","path-prefix":"/q/","kind":"safe",
+ "timeout-ms":1200.5,"split":[{"service":"e","weight":90},
+ {"service":"s","weight":10}],"attempts":2,"public":true}],
+"services":[{"name":"e","health-path":"/health","max-conns":232,
+ "engine":{"slots":24,"kv-tokens":34215,"kv-token-bytes":35136,
+ "link-mbps":5100.0,"moves":true,"backups":true}},
+ {"name":"s","max-conns":110}],
+"limits":{"max-header-bytes":1000,"max-body-bytes":2000,
+ "header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"t","api-keys":["k1","k2"],"priority":1}]})";
+
+static std::string Replaced(const std::string& aFrom, const std::string& aTo)
+{
+  std::string text = kDocument;
+  size_t at = text.find(aFrom);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, aFrom.size(), aTo);
+}
+
+TEST_CASE("a configuration is decoded into the catalog")
+{
+  auto catalog = DecodeCatalogDocument(kDocument);
+  REQUIRE(catalog.ok());
+  CHECK(catalog->m_version == 7);
+  REQUIRE(catalog->m_routes.size() == 2);
+  const Route& stream = catalog->m_routes[0];
+  CHECK(stream.m_repeatability == Repeatability::Stream);
+  CHECK(stream.m_timeout == seconds(6));
+  CHECK(stream.m_latencyObjective == milliseconds(1500));
+  CHECK(stream.m_pauseObjective == milliseconds(180));
+  CHECK(stream.m_priority == 2);
+  CHECK(stream.m_targets == std::vector<RouteTarget>{ { "e", 1 } });
+  const Route& split = catalog->m_routes[1];
+  CHECK(split.m_repeatability == Repeatability::Idempotent);
+  CHECK(split.m_timeout == Duration(1'200'500));
+  CHECK(split.m_latencyObjective == split.m_timeout);
+  CHECK(split.m_maxAttempts == 2);
+  CHECK(split.m_isPublic);
+  CHECK(split.m_targets ==
+        std::vector<RouteTarget>{ { "e", 90 }, { "s", 10 } });
+  REQUIRE(catalog->m_services[0].m_engine.has_value());
+  CHECK(catalog->m_services[0].m_engine->m_memoryTokens == 34215);
+  CHECK(catalog->m_services[0].m_engine->m_canBackUp);
+  CHECK(!catalog->m_services[1].m_engine.has_value());
+  CHECK(catalog->m_limits.m_maxBodyBytes == 2000);
+  CHECK(catalog->m_accounts[0].m_priority == 1);
+}
+
+TEST_CASE("a configuration that cannot be read in full is refused")
+{
+  struct Row
+  {
+    const char* m_name;
+    std::string m_document;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "empty", "" },
+         { "cut short", kDocument.substr(0, kDocument.size() / 2) },
+         { "bytes after it", kDocument + "x" },
+         { "a list", "[]" },
+         { "no version", Replaced("\"version\":7,", "") },
+         { "version as text", Replaced("\"version\":7", "\"version\":\"7\"") },
+         { "version below 0", Replaced("\"version\":7", "\"version\":-7") },
+         { "fraction of a version",
+           Replaced("\"version\":7", "\"version\":7.5") },
+         { "no routes", Replaced("\"routes\":[", "\"other\":[") },
+         { "unknown kind", Replaced("\"stream\"", "\"river\"") },
+         { "timeout of 0",
+           Replaced("\"timeout-ms\":6000", "\"timeout-ms\":0") },
+         { "no timeout", Replaced("\"timeout-ms\":6000,", "") },
+         { "timeout as text",
+           Replaced("\"timeout-ms\":6000", "\"timeout-ms\":\"6 s\"") },
+         { "unknown service",
+           Replaced("\"service\":\"e\",\"attempts\"",
+                    "\"service\":\"x\",\"attempts\"") },
+         { "weights of 0",
+           Replaced("\"weight\":90},\n {\"service\":\"s\",\"weight\":10}",
+                    "\"weight\":0}") },
+         { "same place", Replaced("\"/q/\"", "\"/p/\"") },
+         { "shared key",
+           Replaced("\"priority\":1}",
+                    "\"priority\":1},{\"name\":\"u\",\"api-keys\":[\"k2\"]}") },
+         { "key as a number", Replaced("\"k2\"", "2") },
+       }) {
+    CAPTURE(row.m_name);
+    CHECK(!DecodeCatalogDocument(row.m_document).ok());
+  }
+}
+
+static HttpRequest CallersRequest()
+{
+  return { "POST",
+           "/p/1?q=2",
+           { { "Host", "h.example:8740" },
+             { "Request-Id", "abc" },
+             { "Deadline-Ms", "39000" },
+             { "X-Api-Key", "k1" },
+             { "Token-Count", "1460,80" },
+             { "Length-Hint", "50" },
+             { "Prefix-Hash", "5c:800" },
+             { "Model", "m" },
+             { "Tenant", "somebody-else" },
+             { "Kv-From", "10.0.0.1:1/x" },
+             { "Connection", "keep-alive, X-Private" },
+             { "X-Private", "1" },
+             { "X-Other", "2" } },
+           "body" };
+}
+
+TEST_CASE("a caller's request is decoded once")
+{
+  PlatformProtocol protocol;
+  RoutedRequest request = protocol.DecodeRequest(CallersRequest());
+  CHECK(request.m_id == "abc");
+  CHECK(request.m_hostName == "h.example");
+  CHECK(request.m_path == "/p/1");
+  CHECK(request.m_key == "k1");
+  CHECK(request.m_patience == milliseconds(39000));
+  CHECK(request.m_promptTokens == 1460);
+  CHECK(request.m_maxOutputTokens == 80);
+  CHECK(request.m_expectedOutputTokens == 50);
+}
+
+TEST_CASE("numbers that cannot be read count as absent")
+{
+  PlatformProtocol protocol;
+  struct Row
+  {
+    const char* m_deadline;
+    const char* m_sizes;
+    bool m_hasPatience;
+    uint32_t m_prompt;
+  };
+  for (const Row& row : { Row{ "", "", false, 0 },
+                          Row{ "soon", "1460", false, 0 },
+                          Row{ "-5", "x,y", true, 0 },
+                          Row{ "10", "1460,", true, 1460 },
+                          Row{ "99999999999999999999", ",80", false, 0 } }) {
+    CAPTURE(row.m_deadline);
+    HttpRequest http{ "GET",
+                      "/p/",
+                      { { "Deadline-Ms", row.m_deadline },
+                        { "Token-Count", row.m_sizes } },
+                      "" };
+    RoutedRequest request = protocol.DecodeRequest(http);
+    CHECK(request.m_patience.has_value() == row.m_hasPatience);
+    CHECK(request.m_promptTokens == row.m_prompt);
+  }
+}
+
+TEST_CASE("an upstream gets the request, and only the system's own orders")
+{
+  PlatformProtocol protocol;
+  RoutedRequest request = protocol.DecodeRequest(CallersRequest());
+  UpstreamOrder order;
+  order.m_timeLeft = milliseconds(1500);
+  order.m_upstream = UpstreamId("i-1");
+  order.m_account = AccountId("t");
+  order.m_priority = 12;
+  order.m_resume = ResumePoint{ { "10.0.0.2", 80 }, "h1", "41" };
+  order.m_backup = Endpoint{ "10.0.0.3", 81 };
+  HttpRequest http = protocol.EncodeForUpstream(request, order);
+  CHECK(http.m_method == "POST");
+  CHECK(http.m_target == "/p/1?q=2");
+  CHECK(http.m_body == "body");
+  struct Row
+  {
+    const char* m_name;
+    const char* m_value;
+  };
+  for (const Row& row : { Row{ "Host", "h.example:8740" },
+                          Row{ "Request-Id", "abc" },
+                          Row{ "Token-Count", "1460,80" },
+                          Row{ "Prefix-Hash", "5c:800" },
+                          Row{ "X-Other", "2" },
+                          Row{ "Deadline-Ms", "1500" },
+                          Row{ "Expect-Instance", "i-1" },
+                          Row{ "Tenant", "t" },
+                          Row{ "Request-Urgency", "9" },
+                          Row{ "Kv-From", "10.0.0.2:80/h1" },
+                          Row{ "Last-Event-Id", "41" },
+                          Row{ "Kv-Backup", "10.0.0.3:81" },
+                          Row{ "X-Api-Key", "" },
+                          Row{ "X-Private", "" },
+                          Row{ "Connection", "" } }) {
+    CAPTURE(row.m_name);
+    CHECK(http.Header(row.m_name) == row.m_value);
+  }
+}
+
+TEST_CASE("an answer counts only with its id and signature")
+{
+  PlatformProtocol protocol;
+  RoutedRequest request = protocol.DecodeRequest(CallersRequest());
+  struct Row
+  {
+    int m_status;
+    HttpHeaders m_headers;
+    bool m_isGenuine;
+    bool m_isNotRun;
+    bool m_isMisdirected;
+  };
+  HttpHeader id{ "Request-Id", "abc" };
+  HttpHeader stamp{ "Server-Stamp", "3e1b" };
+  for (const Row& row : std::vector<Row>{
+         { 200, { id, stamp }, true, false, false },
+         { 500, { id, stamp }, true, false, false },
+         { 200, { id }, false, false, false },
+         { 200, { stamp }, false, false, false },
+         { 200, { { "Request-Id", "x" }, stamp }, false, false, false },
+         { 200,
+           { id, stamp, { "Content-Encoding", "gzip" } },
+           false,
+           false,
+           false },
+         { 503, { { "Not-Run", "1" } }, false, true, false },
+         { 503, {}, false, false, false },
+         { 421, { { "Instance-Id", "i-2" } }, false, true, true } }) {
+    CAPTURE(row.m_status);
+    AnswerHead head =
+      protocol.DecodeAnswer(request, row.m_status, row.m_headers);
+    CHECK(head.m_isGenuine == row.m_isGenuine);
+    CHECK(head.m_isNotRun == row.m_isNotRun);
+    CHECK(head.m_isMisdirected == row.m_isMisdirected);
+  }
+}
+
+TEST_CASE("only a request that did not run is told when to come back")
+{
+  PlatformProtocol protocol;
+  Refusal refusal = RefusalBuilder(ErrorKind::Overloaded, "full")
+                      .WithRetryAfter(milliseconds(250))
+                      .Build();
+  HttpResponse response = protocol.EncodeRefusal(refusal, "abc");
+  CHECK(response.m_status == 503);
+  CHECK(response.Header("Retry-After") == "0.250");
+  CHECK(response.Header("Request-Id") == "abc");
+  refusal =
+    RefusalBuilder(ErrorKind::UpstreamFailed, "cut").AfterSend().Build();
+  response = protocol.EncodeRefusal(refusal, "abc");
+  CHECK(response.m_status == 502);
+  CHECK(response.Header("Retry-After").empty());
+}
+
+TEST_CASE("announcements that cannot be read name no upstream")
+{
+  PlatformProtocol protocol;
+  const std::string good =
+    R"({"service":"e","addr":"10.0.0.9:8080","zone":"z","slots":24,)"
+    R"("state":"ready","seq":4,"born":1000,"cold-left-ms":0})";
+  struct Row
+  {
+    const char* m_name;
+    std::string m_body;
+    bool m_isRead;
+  };
+  auto changed = [&](const std::string& aFrom, const std::string& aTo) {
+    std::string text = good;
+    return text.replace(text.find(aFrom), aFrom.size(), aTo);
+  };
+  for (const Row& row : std::vector<Row>{
+         { "whole", good, true },
+         { "draining", changed("ready", "draining"), true },
+         { "no start time", changed(",\"born\":1000", ""), true },
+         { "empty", "", false },
+         { "bytes", "\xff\xfe", false },
+         { "a list", "[1]", false },
+         { "unknown state", changed("ready", "asleep"), false },
+         { "no state", changed("\"state\":\"ready\",", ""), false },
+         { "slots as text", changed("24", "\"24\""), false },
+         { "slots below 0", changed("24", "-1"), false },
+         { "sequence as a fraction", changed("4,", "4.5,"), false },
+         { "address without a port", changed(":8080", ""), false },
+         { "address by name", changed("10.0.0.9", "host"), false },
+         { "service as a number", changed("\"e\"", "7"), false } }) {
+    CAPTURE(row.m_name);
+    HttpRequest http{ "PUT", "/persimmontally/instances/i-1", {}, row.m_body };
+    ControlRequest request = protocol.DecodeControl(http);
+    CHECK(std::holds_alternative<AnnounceUpstream>(request) == row.m_isRead);
+    CHECK(std::holds_alternative<InvalidControlRequest>(request) ==
+          !row.m_isRead);
+  }
+}
+
+TEST_CASE("control calls are told apart by method and path")
+{
+  PlatformProtocol protocol;
+  struct Row
+  {
+    const char* m_method;
+    const char* m_target;
+    size_t m_kind;
+  };
+  const size_t withdraw = ControlRequest(WithdrawUpstream()).index();
+  const size_t store = ControlRequest(StoreCatalog()).index();
+  const size_t fetch = ControlRequest(FetchCatalog()).index();
+  const size_t invalid = ControlRequest(InvalidControlRequest()).index();
+  for (const Row& row :
+       { Row{ "DELETE", "/persimmontally/instances/i-1", withdraw },
+         Row{ "PUT", "/persimmontally/config", store },
+         Row{ "GET", "/persimmontally/config", fetch },
+         Row{ "GET", "/persimmontally/config?x=1", fetch },
+         Row{ "POST", "/persimmontally/config", invalid },
+         Row{ "GET", "/persimmontally/instances/i-1", invalid },
+         Row{ "DELETE", "/persimmontally/instances/", invalid },
+         Row{ "GET", "/", invalid } }) {
+    CAPTURE(row.m_method);
+    CAPTURE(row.m_target);
+    HttpRequest http{ row.m_method, row.m_target, {}, kDocument };
+    CHECK(protocol.DecodeControl(http).index() == row.m_kind);
+  }
+}
+
+TEST_CASE("answers to a copy of a generation's memory")
+{
+  PlatformProtocol protocol;
+  struct Row
+  {
+    int m_status;
+    const char* m_body;
+    bool m_isCopied;
+    const char* m_handle;
+  };
+  for (const Row& row :
+       { Row{ 200, R"({"handle":"h1","made":12})", true, "h1" },
+         Row{ 503, R"({"handle":"h1"})", false, "h1" },
+         Row{ 503, "", false, "" },
+         Row{ 404, "{}", false, "" },
+         Row{ 200, R"({"handle":7})", false, "" } }) {
+    CAPTURE(row.m_status);
+    MoveAnswer answer = protocol.DecodeMove({ row.m_status, {}, row.m_body });
+    CHECK(answer.m_isCopied == row.m_isCopied);
+    CHECK(answer.m_handle == row.m_handle);
+  }
+}
--- /dev/null
+++ b/unittests/Routing/LedgerDispatchTest.cpp
@@ -0,0 +1,199 @@
+/// Entry hosts that place on the same engines by a ledger they share, in
+/// virtual time.
+
+#include "persimmontally/Routing/LedgerDispatch.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace persimmontally;
+
+namespace {
+
+constexpr uint32_t kMemoryTokens = 16000;
+
+/// Hosts whose snapshots arrive at once unless a host is cut off.
+class Site
+{
+public:
+  Site(size_t aHosts, size_t aEngines)
+  {
+    for (size_t i = 0; i < aHosts; ++i) {
+      DispatchOptions options;
+      options.m_dataCentre = DataCentreId("dc");
+      options.m_forecast = HintedForecast();
+      options.m_ranks.m_leastUrgentReserve = 0;
+      LeastLoadPlacement placement;
+      placement.m_unreadWeight = 0.3;
+      options.m_placement = placement;
+      m_hosts.push_back(std::make_unique<LedgerDispatch>(options, i + 1));
+    }
+    for (size_t i = 0; i < aEngines; ++i) {
+      UpstreamRow row;
+      row.m_id = UpstreamId("e" + std::to_string(i));
+      row.m_incarnation = 1;
+      row.m_endpoint = { "127.0.0.1", static_cast<uint16_t>(9000 + i) };
+      row.m_dataCentre = DataCentreId(i % 2 == 0 ? "dc" : "other");
+      row.m_models = { ModelId("m") };
+      row.m_slots = 24;
+      row.m_kvBlocks = kMemoryTokens / row.m_blockTokens;
+      m_table.Merge(m_now, row);
+    }
+  }
+
+  /// Queues a request and returns the engine it was placed on.
+  UpstreamId Place(size_t aHost, const std::string& aId, uint32_t aPrompt)
+  {
+    Ticket ticket;
+    ticket.m_id = RequestId(aId);
+    ticket.m_model = ModelId("m");
+    ticket.m_promptTokens = aPrompt;
+    ticket.m_maxTokens = 2000;
+    ticket.m_expectedTokens = 200;
+    ticket.m_placeBy = m_now + seconds(5);
+    CHECK(!m_hosts[aHost]->Enqueue(m_now, ticket));
+    UpstreamId placed;
+    for (const auto& action : m_hosts[aHost]->Tick(m_now, m_table)) {
+      if (const auto* grant = std::get_if<DispatchGrant>(&action)) {
+        placed = grant->m_upstream;
+      }
+    }
+    Share();
+    return placed;
+  }
+
+  void Share()
+  {
+    m_now += milliseconds(10);
+    for (size_t from = 0; from < m_hosts.size(); ++from) {
+      auto snapshot = m_hosts[from]->TakeSnapshot(m_now);
+      for (size_t to = 0; snapshot && to < m_hosts.size(); ++to) {
+        if (to != from && from != m_cutHost) {
+          m_hosts[to]->Receive(m_now, Id(from), *snapshot);
+        }
+      }
+    }
+  }
+
+  static HostId Id(size_t aHost) { return HostId("h" + std::to_string(aHost)); }
+
+  Instant m_now{ seconds(1) };
+  UpstreamTable m_table{ seconds(100) };
+  std::vector<std::unique_ptr<LedgerDispatch>> m_hosts;
+  size_t m_cutHost = SIZE_MAX;
+};
+
+} // namespace
+
+TEST_CASE("hosts that share a ledger do not overfill an engine together")
+{
+  Site site(3, 1);
+  size_t placed = 0;
+  for (int i = 0; i < 9; ++i) {
+    UpstreamId engine =
+      site.Place(static_cast<size_t>(i % 3), "r" + std::to_string(i), 3500);
+    placed += engine.Empty() ? 0 : 1;
+  }
+  // Four prompts of 3,500 tokens and their outputs fit 16,000 tokens.
+  CHECK(placed == 4);
+  CHECK(site.m_hosts[1]->RowsOn(UpstreamId("e0")).size() == 4);
+}
+
+TEST_CASE("a prompt goes where no other one is being read")
+{
+  Site site(2, 4);
+  std::set<UpstreamId> engines;
+  engines.insert(site.Place(0, "a", 2500));
+  engines.insert(site.Place(1, "b", 2500));
+  CHECK(engines.size() == 2);
+  CHECK(!engines.contains(UpstreamId()));
+}
+
+TEST_CASE("what a host had placed is free again once it is gone")
+{
+  struct Row
+  {
+    const char* m_name;
+    bool m_isForgotten;
+    Duration m_silence;
+    bool m_isFree;
+  };
+  for (const Row& row :
+       { Row{ "heard lately", false, seconds(1), false },
+         Row{ "silent", false, LedgerDispatch::kForgetAfter * 2, true },
+         Row{ "known dead", true, Duration(0), true } }) {
+    CAPTURE(row.m_name);
+    Site site(2, 1);
+    for (int i = 0; i < 4; ++i) {
+      REQUIRE(!site.Place(0, "r" + std::to_string(i), 3500).Empty());
+    }
+    site.m_cutHost = 0;
+    if (row.m_isForgotten) {
+      site.m_hosts[1]->ForgetHost(site.m_now, Site::Id(0));
+    }
+    site.m_now += row.m_silence;
+    site.m_hosts[1]->Tick(site.m_now, site.m_table);
+    CHECK(!site.Place(1, "new", 3500).Empty() == row.m_isFree);
+  }
+}
+
+TEST_CASE("snapshots replace each other in order, and a new life starts anew")
+{
+  Site site(2, 1);
+  LedgerDispatch& host = *site.m_hosts[1];
+  LedgerRow row;
+  row.m_key = "k";
+  row.m_upstream = UpstreamId("e0");
+  row.m_model = ModelId("m");
+  row.m_promptTokens = 100;
+  auto rows = [&] { return host.RowsOn(UpstreamId("e0")).size(); };
+  host.Receive(site.m_now, Site::Id(0), { 5, 2, { row } });
+  CHECK(rows() == 1);
+  host.Receive(site.m_now, Site::Id(0), { 5, 1, {} });
+  CHECK(rows() == 1);
+  host.Receive(site.m_now, Site::Id(0), { 5, 3, {} });
+  CHECK(rows() == 0);
+  host.Receive(site.m_now, Site::Id(0), { 6, 1, { row } });
+  CHECK(rows() == 1);
+  CHECK(host.Local().RunningOn(UpstreamId("e0")) == 1);
+}
+
+TEST_CASE("copies go to the emptiest engine of the same data centre")
+{
+  Site site(1, 5);
+  LedgerDispatch& host = *site.m_hosts[0];
+  Ticket ticket;
+  ticket.m_id = RequestId("r");
+  ticket.m_model = ModelId("m");
+  ticket.m_promptTokens = 3000;
+  ticket.m_maxTokens = 1000;
+  ticket.m_expectedTokens = 200;
+  ticket.m_excluded = { UpstreamId("e0") };
+  Ticket other = ticket;
+  other.m_id = RequestId("o");
+  host.OccupyCopy(site.m_now, other, UpstreamId("e2"), 0);
+  CHECK(host.Local().RunningOn(UpstreamId("e2")) == 0);
+  struct Row
+  {
+    const char* m_dataCentre;
+    double m_mostUse;
+    const char* m_engine;
+  };
+  for (const Row& row : { Row{ "dc", 0.7, "e4" },
+                          Row{ "dc", 0.1, "" },
+                          Row{ "nowhere", 0.7, "" } }) {
+    CAPTURE(row.m_dataCentre);
+    CAPTURE(row.m_mostUse);
+    CHECK(host.Local().PickCopyTarget(site.m_now,
+                                      site.m_table,
+                                      ticket,
+                                      DataCentreId(row.m_dataCentre),
+                                      row.m_mostUse) ==
+          UpstreamId(row.m_engine));
+  }
+  host.UseCopy(RequestId("o"));
+  CHECK(host.Local().RunningOn(UpstreamId("e2")) == 1);
+  host.Complete(site.m_now, RequestId("o"), DispatchOutcome::Finished);
+  CHECK(host.Local().RunningOn(UpstreamId("e2")) == 0);
+}
