[Forwarding] Count a failure of an upstream at once

Cause: an ejection took effect only when the list of upstreams was made anew, up to 100 ms later; a test of eight calls in a row met an upstream that was gone eight times. Change: a failure has the list made anew before the next placement.

--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -127,6 +127,10 @@
                             const DataCentreId& aDataCentre,
                             double aMostUse);
 
+  /// Notes that an upstream failed a connection or broke a request off; with
+  /// `aIsGone` it is certain that it no longer serves. Counts at once.
+  void RecordFailure(Instant aNow, const UpstreamId& aId, bool aIsGone);
+
   void SetRoutineFloor(double aFloor)
   {
     m_options.m_ranks.m_routineFloor = aFloor;
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -341,8 +341,7 @@
     }
     return;
   }
-  m_gateway.Placement().Local().Health().RecordStall(m_gateway.Loop().Now(),
-                                                     m_upstream);
+  RecordFailure(false);
   if (HasBackup()) {
     SwitchToBackup(std::string(aStatus.message()));
     return;
@@ -352,6 +351,12 @@
 
 // Failures.
 
+void ForwardFlow::RecordFailure(bool aIsGone)
+{
+  m_gateway.Placement().Local().RecordFailure(
+    m_gateway.Loop().Now(), m_upstream, aIsGone);
+}
+
 /// Whether another upstream was found to try; the present one is left out.
 bool ForwardFlow::TryAgain(const std::string& aReason, bool aNeedsBudget)
 {
@@ -380,8 +385,7 @@
 
 void ForwardFlow::OnConnectFailed(const std::string& aReason)
 {
-  m_gateway.Placement().Local().Health().RecordStall(m_gateway.Loop().Now(),
-                                                     m_upstream);
+  RecordFailure(false);
   WriteLog(LogLevel::Warning,
            "connect_failed",
            { { "request", m_request.m_id },
@@ -400,10 +404,7 @@
 {
   m_gateway.Counters().Add("turned_away_total");
   if (m_head.m_isMisdirected) {
-    // The upstream is gone for certain: two stalls eject it at once.
-    HealthTable& health = m_gateway.Placement().Local().Health();
-    health.RecordStall(m_gateway.Loop().Now(), m_upstream);
-    health.RecordStall(m_gateway.Loop().Now(), m_upstream);
+    RecordFailure(true);
   }
   if (m_sends >= m_target.m_route->m_maxAttempts ||
       !TryAgain("turned away", true)) {
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -95,6 +95,7 @@
   void ForwardEvents(std::string_view aData);
   void HoldBackIfSlow();
   void NoteProgress();
+  void RecordFailure(bool aIsGone);
   void OnConnectFailed(const std::string& aReason);
   void OnNotRun();
   void OnAttemptFailed(const std::string& aReason);
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -597,6 +597,19 @@
   ++aLane.m_grantedInTick[rank];
 }
 
+void Dispatcher::RecordFailure(Instant aNow,
+                               const UpstreamId& aId,
+                               bool aIsGone)
+{
+  // Two stalls eject an upstream.
+  for (int i = 0; i < (aIsGone ? 2 : 1); ++i) {
+    m_health.RecordStall(aNow, aId);
+  }
+  for (auto& [key, lane] : m_lanes) {
+    lane.m_listedAt = Instant();
+  }
+}
+
 UpstreamId Dispatcher::PickCopyTarget(Instant aNow,
                                       const UpstreamTable& aTable,
                                       const Ticket& aTicket,
--- /dev/null
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -0,0 +1,193 @@
+#include "Forwarding/ForwardSite.h"
+
+#include <doctest/doctest.h>
+
+namespace persimmontally {
+
+static Route MakeRoute(const std::string& aName,
+                       Repeatability aRepeatability,
+                       const std::string& aService,
+                       int aAttempts)
+{
+  Route route;
+  route.m_name = aName;
+  route.m_hostName = "h.example";
+  route.m_pathPrefix = "/" + aName + "/";
+  route.m_repeatability = aRepeatability;
+  route.m_timeout = milliseconds(1500);
+  route.m_latencyObjective = milliseconds(1000);
+  route.m_maxAttempts = aAttempts;
+  route.m_targets = { { aService, 1 } };
+  return route;
+}
+
+static Catalog TestCatalog()
+{
+  Catalog catalog;
+  catalog.m_version = 1;
+  EngineSpec engine;
+  engine.m_slots = 8;
+  engine.m_memoryTokens = 16000;
+  engine.m_canMove = true;
+  engine.m_canBackUp = true;
+  catalog.m_services = { { "engines", 100, engine },
+                         { "plain", 100, std::nullopt } };
+  catalog.m_routes = {
+    MakeRoute("stream", Repeatability::Stream, "engines", 1),
+    MakeRoute("safe", Repeatability::Idempotent, "plain", 2),
+    MakeRoute("unsafe", Repeatability::AtMostOnce, "plain", 1),
+  };
+  catalog.m_routes.push_back(catalog.m_routes[1]);
+  catalog.m_routes.back().m_pathPrefix = "/public/";
+  catalog.m_routes.back().m_isPublic = true;
+  catalog.m_accounts = { { AccountId("t"), { "key" }, std::nullopt } };
+  return catalog;
+}
+
+ForwardSite::ForwardSite()
+{
+  HostRow self;
+  self.m_id = HostId("entry");
+  self.m_dataCentre = DataCentreId("dc");
+  self.m_incarnation = 1;
+  MembershipOptions options;
+  options.m_upstreamLease = seconds(100);
+  m_membership =
+    std::make_unique<Membership>(self, std::vector<Endpoint>(), options, 1);
+  ForwardOptions forward;
+  forward.m_host = self.m_id;
+  forward.m_dispatch.m_dataCentre = self.m_dataCentre;
+  forward.m_dispatch.m_forecast = HintedForecast();
+  m_gateway = std::make_unique<ForwardGateway>(
+    m_loop, *m_membership, m_metrics, m_protocol, forward, 1);
+  m_gateway->SetRoutes(std::make_shared<const RouteTable>(TestCatalog()));
+  m_callers = std::make_unique<HttpServer>(
+    m_loop,
+    HttpLimits(),
+    [this](HttpRequest aRequest, std::shared_ptr<ResponseWriter> aWriter) {
+      m_gateway->Handle(std::move(aRequest), std::move(aWriter));
+    });
+  auto port = m_callers->Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.ok());
+  m_callersAt = { "127.0.0.1", *port };
+  m_ticker =
+    m_loop.RunEvery(milliseconds(10), [this] { m_gateway->Tick(); });
+}
+
+void ForwardSite::Announce(const std::string& aId,
+                           const std::string& aService,
+                           const Endpoint& aEndpoint,
+                           UpstreamState aState)
+{
+  UpstreamRow& row = m_rows[aId];
+  row.m_id = UpstreamId(aId);
+  row.m_incarnation = 1;
+  ++row.m_sequence;
+  row.m_state = aState;
+  row.m_endpoint = aEndpoint;
+  row.m_dataCentre = DataCentreId("dc");
+  row.m_service = aService;
+  row.m_slots = 8;
+  row.m_kind = UpstreamKind::Service;
+  if (aService == "engines") {
+    row.m_kind = UpstreamKind::Engine;
+    row.m_models = { ModelId(aService) };
+    row.m_kvBlocks = 1000;
+  }
+  m_membership->Announce(m_loop.Now(), row);
+}
+
+void ForwardSite::AddUpstream(const std::string& aId,
+                              const std::string& aService,
+                              Handler aHandler)
+{
+  m_servers.push_back(std::make_unique<HttpServer>(
+    m_loop,
+    HttpLimits(),
+    [aHandler](const HttpRequest& aRequest, const Writer& aWriter) {
+      aHandler(aRequest, aWriter);
+    }));
+  auto port = m_servers.back()->Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.ok());
+  Announce(aId, aService, { "127.0.0.1", *port }, UpstreamState::Serving);
+}
+
+void ForwardSite::AddDeadUpstream(const std::string& aId,
+                                  const std::string& aService)
+{
+  // A port that was free a moment ago refuses connections.
+  HttpServer server(m_loop, HttpLimits(), [](const auto&, const auto&) {});
+  auto port = server.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.ok());
+  Announce(aId, aService, { "127.0.0.1", *port }, UpstreamState::Serving);
+}
+
+void ForwardSite::SetState(const std::string& aId, UpstreamState aState)
+{
+  const UpstreamRow row = m_rows.at(aId);
+  Announce(aId, row.m_service, row.m_endpoint, aState);
+}
+
+Endpoint ForwardSite::EndpointOf(const std::string& aId) const
+{
+  return m_rows.at(aId).m_endpoint;
+}
+
+std::shared_ptr<ForwardSite::Call> ForwardSite::Start(const std::string& aPath,
+                                                      HttpHeaders aHeaders)
+{
+  HttpRequest request{ "POST", aPath, std::move(aHeaders), "body" };
+  request.m_headers.push_back({ "Host", "h.example" });
+  request.m_headers.push_back(
+    { "Request-Id", "r" + std::to_string(m_nextRequest++) });
+  auto call = std::make_shared<Call>();
+  HttpCallEvents events;
+  events.m_onHead = [call](int aStatus, const HttpHeaders& aAnswer) {
+    call->m_response.m_status = aStatus;
+    call->m_response.m_headers = aAnswer;
+  };
+  events.m_onData = [call](std::string_view aData) {
+    call->m_response.m_body.append(aData);
+  };
+  events.m_onEnd = [call](absl::Status aStatus) {
+    call->m_isDone = true;
+    call->m_status = std::move(aStatus);
+  };
+  call->m_call = StartHttpCall(
+    m_loop, m_callersAt, request, HttpCallTimeouts(), std::move(events));
+  return call;
+}
+
+void ForwardSite::RunUntil(const std::function<bool()>& aCondition)
+{
+  bool isLate = false;
+  Timer limit = m_loop.RunAfter(seconds(10), [&] { isLate = true; });
+  Timer poll = m_loop.RunEvery(milliseconds(1), [&] {
+    if (isLate || aCondition()) {
+      m_loop.Stop();
+    }
+  });
+  m_loop.Run();
+  REQUIRE_MESSAGE(!isLate, "the condition did not hold within ten seconds");
+}
+
+HttpResponse ForwardSite::Finish(const std::string& aPath, HttpHeaders aHeaders)
+{
+  aHeaders.push_back({ "X-Api-Key", "key" });
+  auto call = Start(aPath, std::move(aHeaders));
+  RunUntil([&] { return call->m_isDone; });
+  return call->m_response;
+}
+
+HttpHeaders Genuine(const HttpRequest& aRequest)
+{
+  return { { "Request-Id", std::string(aRequest.Header("Request-Id")) },
+           { "Server-Stamp", "s" } };
+}
+
+std::string Event(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: token\n\n";
+}
+
+} // namespace persimmontally
