[Forwarding] Use a backup only while its engine stays; free the turns of moves

Change: a backup counts while its engine serves; without one the generation moves in its turn, and rows that do not move hold no turn.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -288,6 +288,10 @@
     m_gateway.Counters().Record("first_token_seconds", now - m_arrivedAt);
   } else {
     m_gateway.Counters().Record("token_gap_seconds", now - m_lastEventAt);
+    if (now - m_lastEventAt > m_longestPause) {
+      m_longestPause = now - m_lastEventAt;
+      m_longestPauseAt = m_events.Events();
+    }
   }
   m_lastEventAt = now;
   if (m_engineBeganAt == Instant()) {
@@ -533,6 +537,8 @@
                m_firstEventAt == Instant()
                  ? -1
                  : ToMilliseconds(m_firstEventAt - m_arrivedAt) },
+             { "longest_pause_ms", ToMilliseconds(m_longestPause) },
+             { "pause_at_event", m_longestPauseAt },
              { "took_ms", ToMilliseconds(now - m_arrivedAt) } });
   m_gateway.Counters().Add(std::string("requests_total{result=\"") + aResult +
                            "\"}");
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -44,7 +44,11 @@
   /// Moves the generation off its upstream, which is about to leave: to its
   /// backup, else by a copy made now.
   void LeaveUpstream();
-  bool HasBackup() const { return !m_backup.m_upstream.Empty(); }
+  /// Whether an engine that stays has, or will have, a copy of the memory.
+  bool HasBackup() const;
+  /// Whether the generation has lost its backup and is long enough to get
+  /// another one, which takes a move.
+  bool WantsNewBackup() const;
   /// Whether the backup has had the time to arrive.
   bool IsBackupSettled() const;
 
@@ -156,6 +160,8 @@
   Instant m_sentAt;
   Instant m_firstEventAt;
   Instant m_lastEventAt;
+  Duration m_longestPause{ 0 };
+  uint32_t m_longestPauseAt = 0;
   /// When the present engine gave its first event.
   Instant m_engineBeganAt;
 };
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -201,7 +201,8 @@
   }
   std::vector<std::shared_ptr<ForwardFlow>> leaving;
   for (const auto& [id, flow] : m_flows) {
-    if (m_leavingSince.contains(flow->Upstream()) && flow->CanMove()) {
+    bool isLeaving = m_leavingSince.contains(flow->Upstream());
+    if (isLeaving && flow->CanMove()) {
       leaving.push_back(flow);
     }
   }
@@ -222,11 +223,18 @@
     if (row.m_key == aFlow.PlacedAs().Value()) {
       break;
     }
+    uint32_t expected =
+      row.m_expectedTokens > 0 ? row.m_expectedTokens : row.m_maxTokens;
+    if (row.m_isCopy || expected <= row.m_tokens + kTokensWithinNotice) {
+      continue;
+    }
     othersFirst = true;
     before += kMoveTurn;
   }
-  return !othersFirst ||
-         m_loop.Now() >= m_leavingSince.at(aFlow.Upstream()) + before;
+  auto since = m_leavingSince.find(aFlow.Upstream());
+  bool hadTime =
+    since != m_leavingSince.end() && m_loop.Now() >= since->second + before;
+  return !othersFirst || hadTime;
 }
 
 } // namespace persimmontally
--- a/lib/Forwarding/ForwardMoves.cpp
+++ b/lib/Forwarding/ForwardMoves.cpp
@@ -13,9 +13,9 @@
 /// Wait before a move is tried again, when no engine had room or the
 /// generation had not begun.
 static constexpr Duration kMoveRetry = milliseconds(40);
-/// Output that an engine makes while a notice of its reclaim runs (1.5 s and
-/// more, at about 9 ms a token): what ends sooner need not move.
-static constexpr uint32_t kTokensWithinNotice = 120;
+/// Output that has to be left for a move only to get a new backup: about three
+/// seconds, in which a second reclaim is likely enough to outweigh the pause.
+static constexpr uint32_t kLeastTokensToRehome = 320;
 /// Time from the first token until the backup has the prompt's memory: a copy
 /// takes 0.3 s, and others may be before it on the link.
 static constexpr Duration kBackupDelay = milliseconds(700);
@@ -34,6 +34,19 @@
   return expected > 0 ? std::min(expected, most) : most;
 }
 
+bool ForwardFlow::HasBackup() const
+{
+  const UpstreamEntry* entry =
+    m_gateway.Members().Upstreams().Find(m_backup.m_upstream);
+  return entry != nullptr && entry->m_row.m_state == UpstreamState::Serving;
+}
+
+bool ForwardFlow::WantsNewBackup() const
+{
+  return CanMove() && MayBackUp() && !HasBackup() &&
+         ExpectedTokens() > TokensSoFar() + kLeastTokensToRehome;
+}
+
 bool ForwardFlow::MayBackUp() const
 {
   return IsStream() && IsGeneration() &&
@@ -106,17 +119,6 @@
 
 void ForwardFlow::SwitchToBackup(const std::string& aReason)
 {
-  const UpstreamEntry* entry =
-    m_gateway.Members().Upstreams().Find(m_backup.m_upstream);
-  bool isThere =
-    entry != nullptr && entry->m_row.m_state != UpstreamState::Gone;
-  if (!isThere) {
-    DropCopy(m_backup);
-    if (!m_call) {
-      Interrupt(aReason + ", and its backup is gone");
-    }
-    return;
-  }
   if (m_call) {
     // The engine drops a request whose connection closes.
     m_call->Cancel();
@@ -135,6 +137,7 @@
 void ForwardFlow::StartMove()
 {
   m_nextMoveTry = m_gateway.Loop().Now() + kMoveRetry;
+  DropCopy(m_backup);
   m_moveCopy = PickCopy(m_upstream, kMostUseWithMove);
   if (m_moveCopy.m_upstream.Empty()) {
     return;
--- a/lib/Forwarding/GenerationMove.h
+++ b/lib/Forwarding/GenerationMove.h
@@ -9,6 +9,10 @@
 
 namespace persimmontally {
 
+/// Output that an engine makes while a notice of its reclaim runs (1.5 s and
+/// more, at about 9 ms a token): what ends sooner need not move.
+inline constexpr uint32_t kTokensWithinNotice = 120;
+
 /// Copies the memory of one running generation to another engine: first while
 /// it runs, then, with the engine stopped, what it has made since. So the
 /// pause that the caller sees is that of the second, short copy.
