[Forwarding] Count backups as they grow, and take them only into free memory

Change: the ledger follows the size of copies; backups fill an engine to 65%, also after a move; admission keeps one deviation of the forecast free. Tried and left out: sending generations that moved as most urgent, which preempts others.

--- a/include/persimmontally/Admission/MemoryForecast.h
+++ b/include/persimmontally/Admission/MemoryForecast.h
@@ -60,7 +60,7 @@
 {
   /// Standard deviation of the logarithm of length over estimate.
   double m_spread = 0.6;
-  double m_deviations = 0.5;
+  double m_deviations = 1.0;
 };
 /// Knows the true length; a baseline for experiments only.
 struct OracleForecast
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -17,9 +17,6 @@
 /// Wait suggested to a caller whose request an upstream turned away: long
 /// enough for the news of what filled it to arrive here.
 static constexpr Duration kRetryAfterTurnedAway = milliseconds(100);
-/// Part of an engine's memory up to which it takes backups: above it, room for
-/// new requests is worth more.
-static constexpr double kMostUseWithBackup = 0.7;
 
 ForwardFlow::ForwardFlow(ForwardGateway& aGateway,
                          RequestId aId,
@@ -128,9 +125,7 @@
   m_state = State::Placed;
   m_upstreamEndpoint = entry->m_row.m_endpoint;
   ++m_connects;
-  if (MayBackUp()) {
-    m_backup = PickCopy(m_upstream, kMostUseWithBackup);
-  }
+  BackUp();
   Send(m_upstreamEndpoint, std::nullopt);
 }
 
@@ -304,10 +299,11 @@
 
 void ForwardFlow::NoteProgress()
 {
-  m_gateway.Placement().Progress(m_gateway.Loop().Now(),
-                                 m_placedAs,
-                                 m_events.Events() *
-                                   m_gateway.Options().m_tokensPerEvent);
+  Instant now = m_gateway.Loop().Now();
+  m_gateway.Placement().Progress(now, m_placedAs, TokensSoFar());
+  if (!m_backup.m_placedAs.Empty()) {
+    m_gateway.Placement().Progress(now, m_backup.m_placedAs, TokensSoFar());
+  }
 }
 
 void ForwardFlow::HoldBackIfSlow()
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -46,9 +46,6 @@
   void LeaveUpstream();
   /// Whether an engine that stays has, or will have, a copy of the memory.
   bool HasBackup() const;
-  /// Whether the generation has lost its backup and is long enough to get
-  /// another one, which takes a move.
-  bool WantsNewBackup() const;
   /// Whether the backup has had the time to arrive.
   bool IsBackupSettled() const;
 
@@ -86,7 +83,9 @@
   Duration TimeLeft() const;
   uint32_t TokensSoFar() const;
   uint32_t ExpectedTokens() const;
-  bool MayBackUp() const;
+  /// Has the present engine send a copy of the memory to a second one, where
+  /// one has room.
+  void BackUp();
   Ticket MakeTicket() const;
   void Enqueue();
   void Send(const Endpoint& aEndpoint, std::optional<ResumePoint> aResume);
--- a/lib/Forwarding/ForwardMoves.cpp
+++ b/lib/Forwarding/ForwardMoves.cpp
@@ -13,12 +13,12 @@
 /// Wait before a move is tried again, when no engine had room or the
 /// generation had not begun.
 static constexpr Duration kMoveRetry = milliseconds(40);
-/// Output that has to be left for a move only to get a new backup: about three
-/// seconds, in which a second reclaim is likely enough to outweigh the pause.
-static constexpr uint32_t kLeastTokensToRehome = 320;
 /// Time from the first token until the backup has the prompt's memory: a copy
 /// takes 0.3 s, and others may be before it on the link.
 static constexpr Duration kBackupDelay = milliseconds(700);
+/// Part of an engine's memory up to which it takes backups: above it, room for
+/// new requests is worth more.
+static constexpr double kMostUseWithBackup = 0.65;
 /// A copy that has to be made may fill an engine: else the work done is lost.
 static constexpr double kMostUseWithMove = 1.0;
 
@@ -41,17 +41,13 @@
   return entry != nullptr && entry->m_row.m_state == UpstreamState::Serving;
 }
 
-bool ForwardFlow::WantsNewBackup() const
+void ForwardFlow::BackUp()
 {
-  return CanMove() && MayBackUp() && !HasBackup() &&
-         ExpectedTokens() > TokensSoFar() + kLeastTokensToRehome;
-}
-
-bool ForwardFlow::MayBackUp() const
-{
-  return IsStream() && IsGeneration() &&
-         m_target.m_service->m_engine->m_canBackUp &&
-         ExpectedTokens() > kTokensWithinNotice;
+  if (IsStream() && IsGeneration() &&
+      m_target.m_service->m_engine->m_canBackUp &&
+      ExpectedTokens() > TokensSoFar() + kTokensWithinNotice) {
+    m_backup = PickCopy(m_upstream, kMostUseWithBackup);
+  }
 }
 
 /// An engine for a copy, in the data centre of the one that has the generation.
@@ -201,9 +197,7 @@
   m_engineBeganAt = Instant();
   m_upstream = aCopy.m_upstream;
   m_upstreamEndpoint = aCopy.m_endpoint;
-  if (MayBackUp()) {
-    m_backup = PickCopy(m_upstream, kMostUseWithMove);
-  }
+  BackUp();
   Send(m_upstreamEndpoint, m_resume);
 }
 
