--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -534,7 +534,7 @@
                  ? -1
                  : ToMilliseconds(m_firstEventAt - m_arrivedAt) },
              { "longest_pause_ms", ToMilliseconds(m_longestPause) },
-             { "pause_at_event", m_longestPauseAt },
+             { "pause_after_events", m_longestPauseAt },
              { "took_ms", ToMilliseconds(now - m_arrivedAt) } });
   m_gateway.Counters().Add(std::string("requests_total{result=\"") + aResult +
                            "\"}");
