[Forwarding] Serve the requests that come before the first catalog

Change: such requests wait up to 1.5 s for the catalog; a host that knows no other one tries its seeds every 200 ms. Test: ForwardTest, requests before the catalog.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -59,11 +59,13 @@
   void Handle(HttpRequest aRequest, std::shared_ptr<ResponseWriter> aWriter);
   /// Runs the decision systems. Called each turn and when something ends.
   void Tick();
-  void SetRoutes(RouteTablePtr aRoutes) { m_routes = std::move(aRoutes); }
+  /// Puts a catalog in force for the requests that come from now on, and for
+  /// those that waited for the first one.
+  void SetRoutes(RouteTablePtr aRoutes);
   const RouteTablePtr& Routes() const { return m_routes; }
   /// Refuses new work, after the balancer has had time.
   void StopTakingWork() { m_takesWork = false; }
-  size_t OpenRequests() const { return m_flows.size(); }
+  size_t OpenRequests() const { return m_flows.size() + m_early.size(); }
   void ReceiveLedger(const HostId& aFrom, const LedgerSnapshot& aSnapshot);
   void ForgetHost(const HostId& aHost);
   /// Sets what sends a snapshot to the other entry hosts.
@@ -91,6 +93,16 @@
 private:
   using Writer = std::shared_ptr<ResponseWriter>;
 
+  /// A request that came before this host knew a catalog.
+  struct EarlyRequest
+  {
+    RoutedRequest m_request;
+    Writer m_writer;
+    Instant m_arrivedAt;
+  };
+
+  void Route(RoutedRequest aRequest, Writer aWriter);
+  void RefuseEarlyRequests();
   void ApplyActions(const std::vector<DispatchAction>& aActions);
   void RunPlacement();
   void SendLedger();
@@ -106,6 +118,7 @@
   HttpConnectionPool m_connections;
   std::mt19937_64 m_random;
   RouteTablePtr m_routes;
+  std::vector<EarlyRequest> m_early;
   std::map<std::string, RetryBudget> m_retries;
   std::map<RequestId, std::shared_ptr<ForwardFlow>> m_flows;
   /// When each leaving upstream was first seen to leave.
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -10,6 +10,10 @@
 
 /// Wait suggested to callers of a host that knows no catalog yet.
 static constexpr Duration kRetryAfterStart = milliseconds(500);
+/// How long, and how many, requests wait for the first catalog: it is there
+/// about a second after a start, and callers of short work wait 2.5 s.
+static constexpr Duration kLongestEarlyWait = milliseconds(1500);
+static constexpr size_t kMostEarlyRequests = 500;
 /// Longest turn of a generation that moves off an engine: a copy of 4,000
 /// tokens took 0.3 s on the links of the engines that were measured.
 static constexpr Duration kMoveTurn = milliseconds(350);
@@ -45,15 +49,57 @@
                             std::shared_ptr<ResponseWriter> aWriter)
 {
   RoutedRequest request = m_protocol.DecodeRequest(std::move(aHttp));
+  if (m_routes) {
+    Route(std::move(request), std::move(aWriter));
+    return;
+  }
+  m_early.push_back({ std::move(request), std::move(aWriter), m_loop.Now() });
+  if (m_early.size() > kMostEarlyRequests) {
+    RefuseEarlyRequests();
+  }
+}
+
+/// Hosts that start together after a loss of power know their catalog about a
+/// second later: callers that press meanwhile are served then, and not sent
+/// away to hosts that know no more.
+void ForwardGateway::SetRoutes(RouteTablePtr aRoutes)
+{
+  m_routes = std::move(aRoutes);
+  for (EarlyRequest& early : std::exchange(m_early, {})) {
+    if (early.m_request.m_patience) {
+      *early.m_request.m_patience -= m_loop.Now() - early.m_arrivedAt;
+    }
+    Route(std::move(early.m_request), std::move(early.m_writer));
+  }
+}
+
+/// Refuses what has waited too long for a catalog, or is too much to keep.
+void ForwardGateway::RefuseEarlyRequests()
+{
+  Instant now = m_loop.Now();
+  auto isLate = [&](const EarlyRequest& aEarly) {
+    return aEarly.m_arrivedAt + kLongestEarlyWait <= now ||
+           m_early.size() > kMostEarlyRequests;
+  };
+  while (!m_early.empty() && isLate(m_early.front())) {
+    EarlyRequest early = std::move(m_early.front());
+    m_early.erase(m_early.begin());
+    Refuse(*early.m_writer,
+           RefusalBuilder(ErrorKind::NoQuorum, "no catalog is known yet")
+             .WithRetryAfter(kRetryAfterStart)
+             .Build(),
+           early.m_request.m_id);
+  }
+}
+
+void ForwardGateway::Route(RoutedRequest aRequest, Writer aWriter)
+{
+  RoutedRequest request = std::move(aRequest);
   auto refuse = [&](ErrorKind aKind, const char* aMessage, Duration aRetry) {
     Refuse(*aWriter,
            RefusalBuilder(aKind, aMessage).WithRetryAfter(aRetry).Build(),
            request.m_id);
   };
-  if (!m_routes) {
-    refuse(ErrorKind::NoQuorum, "no catalog is known yet", kRetryAfterStart);
-    return;
-  }
   ForwardTarget target;
   target.m_routes = m_routes;
   target.m_route = m_routes->FindRoute(request.m_hostName, request.m_path);
@@ -167,6 +213,7 @@
 {
   RunPlacement();
   StartDueMoves();
+  RefuseEarlyRequests();
   m_connections.Tick();
   m_metrics.SetGauge("open_requests", static_cast<double>(m_flows.size()));
 }
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -13,6 +13,8 @@
 static constexpr size_t kMaxPoisonDeaths = 8;
 /// Hosts that news which cannot wait is sent to at once.
 static constexpr size_t kMaxUrgentTargets = 128;
+/// How often a host that knows no other one tries its seeds.
+static constexpr Duration kLonelyPeriod = milliseconds(200);
 /// Tables are asked of one host no more often than this.
 static constexpr Duration kTablesAskPeriod = seconds(2);
 
@@ -375,7 +377,10 @@
     ForgetOldRows(aNow);
   }
   if (aNow >= m_nextReconnect) {
-    m_nextReconnect = aNow + m_options.m_reconnectPeriod;
+    // A host that knows no other one yet cannot do its work.
+    bool isAlone = AliveOthers().empty();
+    m_nextReconnect =
+      aNow + (isAlone ? kLonelyPeriod : m_options.m_reconnectPeriod);
     Reconnect(aNow);
   }
   if (aNow >= m_nextExchange) {
--- a/unittests/Forwarding/ForwardSite.cpp
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -70,8 +70,7 @@
   auto port = m_callers->Listen({ "127.0.0.1", 0 });
   REQUIRE(port.ok());
   m_callersAt = { "127.0.0.1", *port };
-  m_ticker =
-    m_loop.RunEvery(milliseconds(10), [this] { m_gateway->Tick(); });
+  m_ticker = m_loop.RunEvery(milliseconds(10), [this] { m_gateway->Tick(); });
 }
 
 void ForwardSite::Announce(const std::string& aId,
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -66,7 +66,7 @@
   for (const Row& row : std::vector<Row>{
          { "genuine", AnswerWell, 200, 200 },
          { "no signature",
-           [](const HttpRequest& aRequest, const Writer& aWriter) {
+           [](const HttpRequest&aRequest, const Writer&aWriter) {
              HttpHeaders headers = Genuine(aRequest);
              headers.pop_back();
              aWriter->SendWhole({ 200, headers, "x" });
@@ -74,7 +74,7 @@
            502,
            200 },
          { "another request's answer",
-           [](const HttpRequest&, const Writer& aWriter) {
+           [](const HttpRequest&, const Writer&aWriter) {
              aWriter->SendWhole(
                { 200,
                  { { "Request-Id", "z" }, { "Server-Stamp", "s" } },
@@ -83,7 +83,7 @@
            502,
            200 },
          { "cut before its end",
-           [](const HttpRequest& aRequest, const Writer& aWriter) {
+           [](const HttpRequest&aRequest, const Writer&aWriter) {
              aWriter->StartStream(200, Genuine(aRequest));
              aWriter->Write("x");
              aWriter->OnDrained([aWriter] { aWriter->Abort(); });
@@ -91,23 +91,23 @@
            502,
            200 },
          { "closed without an answer",
-           [](const HttpRequest&, const Writer& aWriter) { aWriter->Abort(); },
+           [](const HttpRequest&, const Writer&aWriter) { aWriter->Abort(); },
            502,
            200 },
          { "a promise that only the upstream can give",
-           [](const HttpRequest& aRequest, const Writer& aWriter) {
+           [](const HttpRequest&aRequest, const Writer&aWriter) {
              aWriter->SendWhole({ 503, Genuine(aRequest), "x" });
            },
            502,
            200 },
          { "turned away as not run",
-           [](const HttpRequest&, const Writer& aWriter) {
+           [](const HttpRequest&, const Writer&aWriter) {
              aWriter->SendWhole({ 503, { { "Not-Run", "1" } }, "" });
            },
            503,
            200 },
          { "its own failure",
-           [](const HttpRequest& aRequest, const Writer& aWriter) {
+           [](const HttpRequest&aRequest, const Writer&aWriter) {
              aWriter->SendWhole({ 500, Genuine(aRequest), "x" });
            },
            500,
@@ -206,6 +206,33 @@
   CHECK(response.m_status == 503);
 }
 
+TEST_CASE("requests that come before the catalog are served once it is there")
+{
+  struct Row
+  {
+    const char* m_patience;
+    bool m_isKnownInTime;
+    int m_status;
+  };
+  for (const Row& row :
+       { Row{ "2500", true, 200 }, Row{ "2500", false, 503 } }) {
+    CAPTURE(row.m_isKnownInTime);
+    ForwardSite site;
+    site.AddUpstream("s1", "plain", AnswerWell);
+    RouteTablePtr routes = site.Gateway().Routes();
+    site.Gateway().SetRoutes(nullptr);
+    auto call =
+      site.Start("/unsafe/x",
+                 { { "X-Api-Key", "key" }, { "Deadline-Ms", row.m_patience } });
+    site.RunUntil([&] { return site.Gateway().OpenRequests() == 1; });
+    if (row.m_isKnownInTime) {
+      site.Gateway().SetRoutes(routes);
+    }
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_response.m_status == row.m_status);
+  }
+}
+
 // Generations.
 
 namespace {
@@ -260,8 +287,7 @@
       return;
     }
     m_writer->Write(Event(++m_made));
-    m_timer =
-      m_site.Loop().RunAfter(milliseconds(25), [this] { Make(); });
+    m_timer = m_site.Loop().RunAfter(milliseconds(25), [this] { Make(); });
   }
 
   void Break()
@@ -300,15 +326,17 @@
          Row{ "nothing happens", 0, false, true, true },
          Row{ "the engine breaks off", 10, false, true, true },
          Row{ "the engine leaves", 10, true, true, true },
-         Row{ "the engine breaks off before its copy arrived", 2, false, false,
+         Row{ "the engine breaks off before its copy arrived",
+              2,
+              false,
+              false,
               false },
        }) {
     CAPTURE(row.m_name);
     ForwardSite site;
     std::vector<std::unique_ptr<FakeEngine>> engines;
     for (const char* id : { "e1", "e2" }) {
-      engines.push_back(
-        std::make_unique<FakeEngine>(FakeEngine{ site, id }));
+      engines.push_back(std::make_unique<FakeEngine>(FakeEngine{ site, id }));
       FakeEngine* engine = engines.back().get();
       engine->m_hasCopy = row.m_hasCopy;
       site.AddUpstream(
@@ -319,9 +347,8 @@
         });
     }
     auto call = site.Start("/stream/x", kLongOutput);
-    site.RunUntil([&] {
-      return engines[0]->m_starts + engines[1]->m_starts > 0;
-    });
+    site.RunUntil(
+      [&] { return engines[0]->m_starts + engines[1]->m_starts > 0; });
     FakeEngine& first = engines[0]->m_starts > 0 ? *engines[0] : *engines[1];
     FakeEngine& second = &first == engines[0].get() ? *engines[1] : *engines[0];
     CHECK(first.m_backups ==
@@ -346,14 +373,12 @@
 {
   ForwardSite site;
   FakeEngine engine{ site, "e1" };
-  site.AddUpstream("e1",
-                   "engines",
-                   [&](const HttpRequest& aRequest, const Writer& aWriter) {
-                     engine.Handle(aRequest, aWriter);
-                   });
+  site.AddUpstream(
+    "e1", "engines", [&](const HttpRequest& aRequest, const Writer& aWriter) {
+      engine.Handle(aRequest, aWriter);
+    });
   site.AddUpstream("e2", "engines", AnswerWell);
-  HttpHeaders headers = { { "X-Api-Key", "key" },
-                          { "Token-Count", "100,20" } };
+  HttpHeaders headers = { { "X-Api-Key", "key" }, { "Token-Count", "100,20" } };
   auto call = site.Start("/stream/x", headers);
   site.RunUntil([&] { return engine.m_starts > 0 || call->m_isDone; });
   if (engine.m_starts > 0) {
