--- a/unittests/Forwarding/ForwardSite.cpp
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -21,7 +21,7 @@
   return route;
 }
 
-static Catalog TestCatalog()
+static Catalog TestCatalog(bool aCanBackUp)
 {
   Catalog catalog;
   catalog.m_version = 1;
@@ -29,7 +29,7 @@
   engine.m_slots = 8;
   engine.m_memoryTokens = 16000;
   engine.m_canMove = true;
-  engine.m_canBackUp = true;
+  engine.m_canBackUp = aCanBackUp;
   catalog.m_services = { { "engines", 100, engine },
                          { "plain", 100, std::nullopt } };
   catalog.m_routes = {
@@ -44,7 +44,7 @@
   return catalog;
 }
 
-ForwardSite::ForwardSite()
+ForwardSite::ForwardSite(bool aCanBackUp)
 {
   HostRow self;
   self.m_id = HostId("entry");
@@ -60,7 +60,8 @@
   forward.m_dispatch.m_forecast = HintedForecast();
   m_gateway = std::make_unique<ForwardGateway>(
     m_loop, *m_membership, m_metrics, m_protocol, forward, 1);
-  m_gateway->SetRoutes(std::make_shared<const RouteTable>(TestCatalog()));
+  m_gateway->SetRoutes(
+    std::make_shared<const RouteTable>(TestCatalog(aCanBackUp)));
   m_callers = std::make_unique<HttpServer>(
     m_loop,
     HttpLimits(),
--- a/unittests/Forwarding/ForwardSite.h
+++ b/unittests/Forwarding/ForwardSite.h
@@ -33,7 +33,8 @@
     std::shared_ptr<HttpCall> m_call;
   };
 
-  ForwardSite();
+  /// `aCanBackUp` says whether engines keep copies while they run requests.
+  explicit ForwardSite(bool aCanBackUp = true);
 
   /// Starts a server and announces it, as an engine or a plain service.
   void AddUpstream(const std::string& aId,
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -244,6 +244,10 @@
   std::string m_id;
   int m_most = 40;
   bool m_hasCopy = true;
+  /// What it answers when it is asked for a copy, and for the last part.
+  int m_copyStatus = 200;
+  int m_lastCopyStatus = 200;
+  int m_copies = 0;
   std::vector<std::string> m_backups;
   Writer m_writer;
   int m_made = 0;
@@ -255,7 +259,9 @@
   {
     if (aRequest.m_target.starts_with("/persimmontally/kv-move")) {
       bool isLast = aRequest.m_body.find("last") != std::string::npos;
-      aWriter->SendWhole({ 200, {}, R"({"handle":"h1"})" });
+      ++m_copies;
+      int status = isLast ? m_lastCopyStatus : m_copyStatus;
+      aWriter->SendWhole({ status, {}, R"({"handle":"h1"})" });
       if (isLast) {
         Break();
       }
@@ -369,6 +375,58 @@
   }
 }
 
+TEST_CASE("without backups a generation moves by a copy made at the notice")
+{
+  struct Row
+  {
+    const char* m_name;
+    int m_copyStatus;
+    int m_lastCopyStatus;
+    /// Where the generation goes on.
+    bool m_isAtTarget;
+  };
+  for (const Row& row :
+       { Row{ "both parts are copied", 200, 200, true },
+         Row{
+           "the last part is not, and the source keeps it", 200, 503, false },
+         Row{ "there is no room at first", 503, 200, true } }) {
+    CAPTURE(row.m_name);
+    ForwardSite site(false);
+    std::vector<std::unique_ptr<FakeEngine>> engines;
+    for (const char* id : { "e1", "e2" }) {
+      engines.push_back(std::make_unique<FakeEngine>(FakeEngine{ site, id }));
+      FakeEngine* engine = engines.back().get();
+      engine->m_most = 40;
+      engine->m_copyStatus = row.m_copyStatus;
+      engine->m_lastCopyStatus = row.m_lastCopyStatus;
+      site.AddUpstream(
+        id,
+        "engines",
+        [engine](const HttpRequest& aRequest, const Writer& aWriter) {
+          engine->Handle(aRequest, aWriter);
+        });
+    }
+    auto call = site.Start("/stream/x", kLongOutput);
+    site.RunUntil(
+      [&] { return engines[0]->m_starts + engines[1]->m_starts > 0; });
+    FakeEngine& source = engines[0]->m_starts > 0 ? *engines[0] : *engines[1];
+    FakeEngine& target =
+      &source == engines[0].get() ? *engines[1] : *engines[0];
+    CHECK(source.m_backups == std::vector<std::string>{ "" });
+    site.RunUntil([&] { return source.m_made >= 5; });
+    site.SetState(source.m_id, UpstreamState::Leaving);
+    if (row.m_copyStatus != 200) {
+      site.RunUntil([&] { return source.m_copies >= 2; });
+      source.m_copyStatus = 200;
+    }
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_status.ok());
+    CHECK(call->m_response.m_body == Events(40));
+    CHECK(target.m_starts == (row.m_isAtTarget ? 1 : 0));
+    CHECK(source.m_starts >= (row.m_isAtTarget ? 1 : 2));
+  }
+}
+
 TEST_CASE("a short generation has no backup, and its break is shown")
 {
   ForwardSite site;
--- a/unittests/Support/SettingsTest.cpp
+++ b/unittests/Support/SettingsTest.cpp
@@ -98,3 +98,50 @@
     CHECK(ParseEndpoint(row.m_text).ok() == row.m_isGood);
   }
 }
+
+static std::string RoutedSettings(const std::string& aAdded)
+{
+  return "[host]\nname = core-1\ndata_centre = xela\nregion = oes\n"
+         "[listen]\ncontrol = 10.0.0.1:8748\npeer = 10.0.0.1:7200\n"
+         "[peers]\nseeds = 10.0.0.1:8748,10.0.0.2:8748\n"
+         "seeds_have_own_port = yes\n"
+         "[keys]\npeer_key = 0123456789abcdef\n" +
+         aAdded;
+}
+
+TEST_CASE("settings of a host of routed traffic need no key files")
+{
+  auto settings = ParseSettings("a.ini",
+                                RoutedSettings("[state]\ndata_dir = /data\n"
+                                               "found_group = true\n"
+                                               "tolerated_losses = 2\n"));
+  REQUIRE(settings.ok());
+  CHECK(IsRoutedHost(*settings));
+  CHECK(settings->m_foundGroup);
+  CHECK(settings->m_voters == 5);
+  CHECK(settings->m_callersListen.m_port == 0);
+  CHECK(settings->m_controlListen == Endpoint{ "10.0.0.1", 8748 });
+  // Seeds are told by another listener; the peers' port replaces its own.
+  CHECK(settings->m_seeds ==
+        std::vector<Endpoint>{ { "10.0.0.1", 7200 }, { "10.0.0.2", 7200 } });
+}
+
+TEST_CASE("faults in the settings of routed traffic name section and key")
+{
+  struct Row
+  {
+    const char* m_added;
+    const char* m_expected;
+  };
+  for (const Row& row :
+       { Row{ "[state]\ntolerated_losses = 4\n", "[state] tolerated_losses" },
+         Row{ "[state]\nfound_group = maybe\n", "[state] found_group" },
+         Row{ "[listen]\ncallers = nowhere\n", "a.ini" },
+         Row{ "[limits]\nshutdown_grace_ms = -1\n", "shutdown_grace_ms" } }) {
+    CAPTURE(row.m_added);
+    auto settings = ParseSettings("a.ini", RoutedSettings(row.m_added));
+    REQUIRE_FALSE(settings.ok());
+    CHECK(std::string(settings.status().message()).find(row.m_expected) !=
+          std::string::npos);
+  }
+}
