[Tools] Show what a host of routed traffic believes

/status at the metrics address, and 'persimmontallyctl routed' over it: hosts, leader, catalog, upstreams with what runs on them, queues. Tried on a daemon on loopback with a catalog stored over its control address.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -81,6 +81,7 @@
   const WireProtocol& Protocol() const { return m_protocol; }
   const ForwardOptions& Options() const { return m_options; }
   LedgerDispatch& Placement() { return m_placement; }
+  const LedgerDispatch& Placement() const { return m_placement; }
   HttpConnectionPool& Connections() { return m_connections; }
   RetryBudget& RetriesOf(const std::string& aService);
   /// Answers with a refusal, writes its log line and counts it.
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -1,6 +1,7 @@
 #include "persimmontally/Daemon/RoutedHost.h"
 
 #include "HostCore.h"
+#include "RoutedStatus.h"
 
 #include "persimmontally/Forwarding/ControlPlane.h"
 #include "persimmontally/Forwarding/ForwardGateway.h"
@@ -88,6 +89,7 @@
                       const Endpoint& aListen,
                       const HttpLimits& aLimits,
                       HttpServer::Handler aHandler);
+  void AnswerMonitoring(const HttpRequest& aRequest, const Writer& aWriter);
   void UpdateCatalog();
   void AnswerReadiness(const Writer& aWriter);
   bool IsReady();
@@ -200,11 +202,8 @@
     opened = Listen(m_metricsServer,
                     settings.m_metricsListen,
                     HttpLimits(),
-                    [this](const HttpRequest&, const Writer& aWriter) {
-                      aWriter->SendWhole(
-                        { 200,
-                          { { "Content-Type", "text/plain; version=0.0.4" } },
-                          m_core.Counters().PrometheusText() });
+                    [this](const HttpRequest& aRequest, const Writer& aWriter) {
+                      AnswerMonitoring(aRequest, aWriter);
                     });
   }
   if (!opened.ok()) {
@@ -222,6 +221,20 @@
   return absl::OkStatus();
 }
 
+void RoutedHost::Impl::AnswerMonitoring(const HttpRequest& aRequest,
+                                        const Writer& aWriter)
+{
+  if (aRequest.m_target == "/status") {
+    aWriter->SendWhole({ 200,
+                         { { "Content-Type", "application/json" } },
+                         RoutedStatusJson(m_core, m_gateway.get()) });
+    return;
+  }
+  aWriter->SendWhole({ 200,
+                       { { "Content-Type", "text/plain; version=0.0.4" } },
+                       m_core.Counters().PrometheusText() });
+}
+
 /// Puts a newer catalog in force on this host.
 void RoutedHost::Impl::UpdateCatalog()
 {
--- a/tools/persimmontallyctl/Commands.cpp
+++ b/tools/persimmontallyctl/Commands.cpp
@@ -273,6 +273,31 @@
   return DescribeDiff(present->m_body, *text);
 }
 
+/// What a host of routed traffic believes, from its metrics address.
+static absl::StatusOr<std::string> RoutedStatus(const ControlOptions& aOptions)
+{
+  auto response = Get(aOptions, "/status");
+  if (!response.ok()) {
+    return response.status();
+  }
+  json::error_code error;
+  json::value status = json::parse(response->m_body, error);
+  if (error || !status.is_object() || !status.as_object().contains("hosts")) {
+    return absl::InternalError(ToString(aOptions.m_host) +
+                               " is not the metrics address of a routed host");
+  }
+  if (aOptions.m_json) {
+    return response->m_body + "\n";
+  }
+  std::string out;
+  for (const auto& [key, value] : status.as_object()) {
+    bool isTable = value.is_array();
+    out += std::string(key) + ": ";
+    out += isTable ? "\n" + Table(value) : json::serialize(value) + "\n";
+  }
+  return out;
+}
+
 absl::StatusOr<std::string> RunCommand(const ControlOptions& aOptions,
                                        const std::vector<std::string>& aWords)
 {
@@ -283,6 +308,9 @@
   if (command == "status") {
     return Status(aOptions);
   }
+  if (command == "routed") {
+    return RoutedStatus(aOptions);
+  }
   if (aWords.size() < 2) {
     return absl::UnimplementedError("'" + command + "' needs a word more");
   }
--- a/tools/persimmontallyctl/main.cpp
+++ b/tools/persimmontallyctl/main.cpp
@@ -25,6 +25,10 @@
 static constexpr const char* kUsage =
   "persimmontallyctl [flags] COMMAND\n"
   "  status                    hosts, upstreams, accounts, leases, suspects\n"
+  "  routed                    hosts, upstreams and queues as a host of "
+  "routed\n"
+  "                            traffic sees them; --host is its metrics "
+  "address\n"
   "  show plans|accounts       a list and its version\n"
   "  validate plans|accounts FILE\n"
   "  diff plans|accounts FILE  what the file would change\n"
