--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -35,6 +35,8 @@
   : public boost::log::sinks::basic_formatted_sink_backend<char>
 {
 public:
+  // The name that the library asks of a sink.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static void consume(const boost::log::record_view&, std::string aLine)
   {
     // A pipe that can be written to takes this much without blocking.
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -240,6 +240,12 @@
 /// An engine that makes events one by one and knows the copies it holds.
 struct FakeEngine
 {
+  FakeEngine(ForwardSite& aSite, std::string aId)
+    : m_site(aSite)
+    , m_id(std::move(aId))
+  {
+  }
+
   ForwardSite& m_site;
   std::string m_id;
   int m_most = 40;
@@ -342,7 +348,7 @@
     ForwardSite site;
     std::vector<std::unique_ptr<FakeEngine>> engines;
     for (const char* id : { "e1", "e2" }) {
-      engines.push_back(std::make_unique<FakeEngine>(FakeEngine{ site, id }));
+      engines.push_back(std::make_unique<FakeEngine>(site, id));
       FakeEngine* engine = engines.back().get();
       engine->m_hasCopy = row.m_hasCopy;
       site.AddUpstream(
@@ -394,7 +400,7 @@
     ForwardSite site(false);
     std::vector<std::unique_ptr<FakeEngine>> engines;
     for (const char* id : { "e1", "e2" }) {
-      engines.push_back(std::make_unique<FakeEngine>(FakeEngine{ site, id }));
+      engines.push_back(std::make_unique<FakeEngine>(site, id));
       FakeEngine* engine = engines.back().get();
       engine->m_most = 40;
       engine->m_copyStatus = row.m_copyStatus;
@@ -430,7 +436,7 @@
 TEST_CASE("a short generation has no backup, and its break is shown")
 {
   ForwardSite site;
-  FakeEngine engine{ site, "e1" };
+  FakeEngine engine(site, "e1");
   site.AddUpstream(
     "e1", "engines", [&](const HttpRequest& aRequest, const Writer& aWriter) {
       engine.Handle(aRequest, aWriter);
--- a/unittests/State/StateSite.cpp
+++ b/unittests/State/StateSite.cpp
@@ -192,7 +192,6 @@
   StateService& service = Service(aPacket.m_to);
   std::visit(
     [&](const auto& aBody) {
-      using Body = std::decay_t<decltype(aBody)>;
       if constexpr (requires { service.Receive(m_now, aBody); }) {
         service.Receive(m_now, aBody);
       }
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -43,14 +43,23 @@
   batch.m_ends = { { "r#1", 1, 7 } };
   batch.m_unknown = { "r#2" };
   batch.m_tickets = { TicketRow() };
+  LedgerSnapshot ledger;
+  ledger.m_epoch = 5;
+  ledger.m_sequence = 6;
+  ledger.m_rows.resize(2);
+  ledger.m_rows[1].m_key = "k";
+  ledger.m_rows[1].m_isCopy = true;
   return { tables,
            raft,
            install,
            ProposeRequest{ "p", HostId("h"), order },
            ProposeReply{ "p", true, HostId("h"), {} },
            PlanPull{ HostId("h"), 3 },
-           PlanState{ "g", 4, { 1, "{}" }, { 2, "{}" } },
-           batch };
+           ProposeRequest{ "p", HostId("h"), PutCatalog{ 7, "{}" } },
+           ProposeRequest{ "p", HostId("h"), ReadCatalog() },
+           PlanState{ "g", 4, { 1, "{}" }, { 2, "{}" }, { 3, "{}" } },
+           batch,
+           ledger };
 }
 
 TEST_CASE("messages survive encoding")
