--- a/include/persimmontally/Membership/UpstreamTable.h
+++ b/include/persimmontally/Membership/UpstreamTable.h
@@ -33,8 +33,9 @@
 };
 
 /// Upstreams by id. Of two upstreams at one address only the one that started
-/// later can be there. A row counts for the length of a lease after its announcement;
-/// `Leaving` and `Gone` win over `Serving` within one incarnation.
+/// later can be there. A row counts for the length of a lease after its
+/// announcement; `Leaving` and `Gone` win over `Serving` within one
+/// incarnation.
 class UpstreamTable
 {
 public:
--- a/include/persimmontally/Wire/StateMessage.h
+++ b/include/persimmontally/Wire/StateMessage.h
@@ -148,12 +148,8 @@
   }
 };
 
-using Command = std::variant<PutList,
-                             StartOrder,
-                             EndOrder,
-                             TakeLease,
-                             PutCatalog,
-                             ReadCatalog>;
+using Command = std::
+  variant<PutList, StartOrder, EndOrder, TakeLease, PutCatalog, ReadCatalog>;
 
 enum class CommandStatus : uint8_t
 {
--- a/include/persimmontally/Wire/UpstreamRow.h
+++ b/include/persimmontally/Wire/UpstreamRow.h
@@ -63,6 +63,12 @@
   bool m_checksFencing = false;
   UpstreamLoad m_load;
 
+  /// Memory for running requests and cached prefixes, in tokens.
+  double MemoryTokens() const
+  {
+    return static_cast<double>(m_kvBlocks) * m_blockTokens;
+  }
+
   bool operator==(const UpstreamRow&) const = default;
 
   template<class Archive>
--- /dev/null
+++ b/lib/Membership/MembershipSends.cpp
@@ -0,0 +1,138 @@
+// Messages of membership to other hosts.
+
+#include "persimmontally/Membership/Membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace persimmontally {
+
+/// Rows that fit one datagram below the common path limit of 1,280 bytes.
+static constexpr size_t kHostsPerMessage = 3;
+static constexpr size_t kUpstreamsPerMessage = 2;
+static constexpr size_t kRenewalsPerMessage = 18;
+static constexpr size_t kPoisonPerMessage = 2;
+
+int Membership::RetransmitCount() const
+{
+  return 3 * static_cast<int>(std::bit_width(m_hosts.size() + 1));
+}
+
+void Membership::FillChanges(GossipMessage& aMessage)
+{
+  auto take = [](auto& aPushes, size_t aLimit, auto aAdd) {
+    size_t taken = 0;
+    for (auto at = aPushes.begin(); at != aPushes.end() && taken < aLimit;) {
+      aAdd(at->first);
+      ++taken;
+      at = --at->second <= 0 ? aPushes.erase(at) : std::next(at);
+    }
+  };
+  take(m_hostPushes, kHostsPerMessage, [&](const HostId& aId) {
+    if (const HostRow* row = FindHost(aId)) {
+      aMessage.m_hosts.push_back(*row);
+    }
+  });
+  take(m_upstreamPushes, kUpstreamsPerMessage, [&](const UpstreamId& aId) {
+    if (const UpstreamEntry* entry = m_upstreams.Find(aId)) {
+      aMessage.m_upstreams.push_back(entry->m_row);
+    }
+  });
+  take(m_poisonPushes, kPoisonPerMessage, [&](uint64_t aFingerprint) {
+    auto at = m_poison.find(aFingerprint);
+    if (at != m_poison.end()) {
+      aMessage.m_poison.push_back(at->second);
+    }
+  });
+}
+
+void Membership::PushChanges()
+{
+  std::vector<HostId> targets = AliveHosts(true);
+  std::shuffle(targets.begin(), targets.end(), m_random);
+  if (targets.size() > static_cast<size_t>(m_options.m_localFanout)) {
+    targets.resize(m_options.m_localFanout);
+  }
+  auto elsewhere = AliveElsewhere();
+  if (!elsewhere.empty()) {
+    std::uniform_int_distribution<ptrdiff_t> pick(
+      0, static_cast<ptrdiff_t>(elsewhere.size()) - 1);
+    auto dataCentre = std::next(elsewhere.begin(), pick(m_random));
+    targets.push_back(PickRandom(dataCentre->second));
+  }
+  for (const HostId& id : targets) {
+    if (m_hostPushes.empty() && m_upstreamPushes.empty() &&
+        m_poisonPushes.empty()) {
+      return;
+    }
+    GossipMessage message;
+    FillChanges(message);
+    SendGossip(m_hosts.at(id).m_peer, std::move(message));
+  }
+}
+
+void Membership::PushRenewals()
+{
+  std::vector<UpstreamRenewal> renewals;
+  for (const UpstreamId& id : m_renewed) {
+    const UpstreamEntry* entry = m_upstreams.Find(id);
+    if (entry != nullptr) {
+      const UpstreamRow& row = entry->m_row;
+      renewals.push_back({ id, row.m_incarnation, row.m_sequence, row.m_load });
+    }
+  }
+  m_renewed.clear();
+  auto elsewhere = AliveElsewhere();
+  for (size_t start = 0; start < renewals.size();
+       start += kRenewalsPerMessage) {
+    size_t end = std::min(start + kRenewalsPerMessage, renewals.size());
+    GossipMessage message;
+    message.m_renewals.assign(renewals.begin() + static_cast<ptrdiff_t>(start),
+                              renewals.begin() + static_cast<ptrdiff_t>(end));
+    for (const HostId& id : AliveHosts(true)) {
+      SendGossip(m_hosts.at(id).m_peer, message);
+    }
+    message.m_kind = GossipKind::Relay;
+    for (const auto& [dataCentre, hosts] : elsewhere) {
+      SendGossip(m_hosts.at(PickRandom(hosts)).m_peer, message);
+    }
+  }
+}
+
+void Membership::SendGossip(const Endpoint& aTo, GossipMessage aMessage)
+{
+  m_sends.push_back({ aTo, std::move(aMessage) });
+}
+
+void Membership::SendTables(const Endpoint& aTo, bool aAnswerWanted)
+{
+  MembershipTables tables;
+  tables.m_answerWanted = aAnswerWanted;
+  for (const auto& [id, row] : m_hosts) {
+    tables.m_hosts.push_back(row);
+  }
+  for (const auto& [id, entry] : m_upstreams.Rows()) {
+    tables.m_upstreams.push_back(entry.m_row);
+  }
+  for (const auto& [fingerprint, row] : m_poison) {
+    tables.m_poison.push_back(row);
+  }
+  m_sends.push_back({ aTo, std::move(tables) });
+}
+
+std::vector<MembershipSend> Membership::TakeSends()
+{
+  return std::exchange(m_sends, {});
+}
+
+std::vector<HostChange> Membership::TakeHostChanges()
+{
+  return std::exchange(m_changes, {});
+}
+
+std::vector<std::pair<HostId, ShareMessage>> Membership::TakeShares()
+{
+  return std::exchange(m_shares, {});
+}
+
+} // namespace persimmontally
--- /dev/null
+++ b/lib/State/StateProposals.cpp
@@ -0,0 +1,169 @@
+// Commands on their way to a decision of the group.
+
+#include "persimmontally/State/StateService.h"
+
+#include <algorithm>
+
+namespace persimmontally {
+
+/// Largest command; a larger one is refused before it is proposed.
+static constexpr size_t kMaxCommandBytes = 4 << 20;
+
+bool StateService::IsLeader() const
+{
+  return m_raft && m_raft->Role() == RaftRole::Leader;
+}
+
+/// A group that is still being founded takes no commands: they would rest on
+/// fewer disks than the operators asked for.
+bool StateService::AcceptsCommands() const
+{
+  if (!m_machine.IsPristine()) {
+    return true;
+  }
+  size_t voters = 0;
+  for (const GroupMember& member : m_raft->Config().m_members) {
+    voters += member.m_votes ? 1 : 0;
+  }
+  return voters >= m_options.m_voters;
+}
+
+HostId StateService::LeaderHost() const
+{
+  if (IsLeader()) {
+    return m_options.m_host;
+  }
+  if (m_raft && !m_raft->Leader().Empty()) {
+    for (const GroupMember& member : m_raft->Config().m_members) {
+      if (member.m_disk == m_raft->Leader()) {
+        return member.m_host;
+      }
+    }
+  }
+  return m_leaderHint;
+}
+
+void StateService::Propose(Instant aNow, Command aCommand, Callback aCallback)
+{
+  if (Encode(aCommand).size() > kMaxCommandBytes) {
+    CommandResult result;
+    result.m_status = CommandStatus::InvalidList;
+    result.m_message = "the change is larger than 4 MiB";
+    aCallback(result);
+    return;
+  }
+  std::string id = m_proposalPrefix + std::to_string(m_nextProposal++);
+  Pending pending;
+  pending.m_command = std::move(aCommand);
+  pending.m_callback = std::move(aCallback);
+  pending.m_deadline = aNow + m_options.m_proposalTimeout;
+  auto at = m_pending.emplace(id, std::move(pending)).first;
+  SendProposal(aNow, id, at->second);
+}
+
+void StateService::SendProposal(Instant aNow,
+                                const std::string& aId,
+                                Pending& aPending)
+{
+  aPending.m_sentAt = aNow;
+  aPending.m_sent = true;
+  if (IsLeader()) {
+    Receive(aNow, ProposeRequest{ aId, m_options.m_host, aPending.m_command });
+    return;
+  }
+  HostId leader = LeaderHost();
+  const StatePeer* peer = FindPeer(leader);
+  if (peer == nullptr || !peer->m_isAlive || peer->m_host == m_options.m_host) {
+    std::vector<const StatePeer*> members;
+    for (const StatePeer& other : m_peers) {
+      if (other.m_isAlive && !other.m_group.empty() &&
+          other.m_host != m_options.m_host) {
+        members.push_back(&other);
+      }
+    }
+    if (members.empty()) {
+      return;
+    }
+    std::uniform_int_distribution<size_t> pick(0, members.size() - 1);
+    peer = members[pick(m_random)];
+  }
+  m_sends.push_back(
+    { peer->m_peer,
+      ProposeRequest{ aId, m_options.m_host, aPending.m_command } });
+}
+
+void StateService::ResendProposals(Instant aNow)
+{
+  std::vector<std::string> expired;
+  for (auto& [id, pending] : m_pending) {
+    if (aNow >= pending.m_deadline) {
+      expired.push_back(id);
+    } else if (aNow >= pending.m_sentAt + m_options.m_resendAfter) {
+      SendProposal(aNow, id, pending);
+    }
+  }
+  for (const std::string& id : expired) {
+    Resolve(id, CommandResult());
+  }
+}
+
+void StateService::Receive(Instant aNow, const ProposeRequest& aMessage)
+{
+  if (!IsLeader()) {
+    HostId leader = LeaderHost();
+    Answer(aMessage.m_from, { aMessage.m_proposal, false, leader, {} });
+    return;
+  }
+  if (!AcceptsCommands()) {
+    return;
+  }
+  auto index = m_raft->Propose(aNow, Encode(aMessage.m_command));
+  if (index) {
+    m_local[*index] = { aMessage.m_proposal, aMessage.m_from };
+  }
+}
+
+void StateService::Receive(Instant aNow, const ProposeReply& aMessage)
+{
+  if (aMessage.m_isLeader) {
+    m_leaderHint = aMessage.m_leaderHint;
+    Resolve(aMessage.m_proposal, aMessage.m_result);
+    return;
+  }
+  auto at = m_pending.find(aMessage.m_proposal);
+  bool isNews = !aMessage.m_leaderHint.Empty() &&
+                aMessage.m_leaderHint != m_leaderHint &&
+                aMessage.m_leaderHint != m_options.m_host;
+  m_leaderHint = aMessage.m_leaderHint;
+  if (at != m_pending.end() && isNews) {
+    SendProposal(aNow, at->first, at->second);
+  }
+}
+
+void StateService::Answer(const HostId& aTo, ProposeReply aReply)
+{
+  if (aTo == m_options.m_host) {
+    if (aReply.m_isLeader) {
+      Resolve(aReply.m_proposal, aReply.m_result);
+    }
+    return;
+  }
+  const StatePeer* peer = FindPeer(aTo);
+  if (peer != nullptr) {
+    m_sends.push_back({ peer->m_peer, std::move(aReply) });
+  }
+}
+
+void StateService::Resolve(const std::string& aProposal,
+                           const CommandResult& aResult)
+{
+  auto at = m_pending.find(aProposal);
+  if (at == m_pending.end()) {
+    return;
+  }
+  Callback callback = std::move(at->second.m_callback);
+  m_pending.erase(at);
+  callback(aResult);
+}
+
+} // namespace persimmontally
--- a/tools/persimmontallyd/main.cpp
+++ b/tools/persimmontallyd/main.cpp
@@ -73,6 +73,7 @@
   EventLoop loop;
   EntryHost host(loop, *settings);
   // Nothing of the product's own API changes while it runs.
-  loop.OnReload([] { WriteLog(LogLevel::Info, "settings_reload_ignored", {}); });
+  loop.OnReload(
+    [] { WriteLog(LogLevel::Info, "settings_reload_ignored", {}); });
   return RunHost(loop, host);
 }
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -324,6 +324,51 @@
 
 } // namespace
 
+namespace {
+
+/// A generation on one of two engines.
+class TwoEngines
+{
+public:
+  TwoEngines(bool aCanBackUp, const std::function<void(FakeEngine&)>& aSetUp)
+    : m_site(aCanBackUp)
+  {
+    for (const char* id : { "e1", "e2" }) {
+      m_engines.push_back(std::make_unique<FakeEngine>(m_site, id));
+      FakeEngine* engine = m_engines.back().get();
+      aSetUp(*engine);
+      m_site.AddUpstream(
+        id,
+        "engines",
+        [engine](const HttpRequest& aRequest, const Writer& aWriter) {
+          engine->Handle(aRequest, aWriter);
+        });
+    }
+    m_call = m_site.Start("/stream/x", kLongOutput);
+    m_site.RunUntil(
+      [&] { return m_engines[0]->m_starts + m_engines[1]->m_starts > 0; });
+    m_first = m_engines[0]->m_starts > 0 ? 0 : 1;
+  }
+
+  /// Engine that runs the generation at first, and the other one.
+  FakeEngine& First() { return *m_engines[m_first]; }
+  FakeEngine& Second() { return *m_engines[1 - m_first]; }
+  void Finish()
+  {
+    m_site.RunUntil([&] { return m_call->m_isDone; });
+    CHECK(m_site.Gateway().OpenRequests() == 0);
+  }
+
+  ForwardSite m_site;
+  std::shared_ptr<ForwardSite::Call> m_call;
+
+private:
+  std::vector<std::unique_ptr<FakeEngine>> m_engines;
+  size_t m_first = 0;
+};
+
+} // namespace
+
 TEST_CASE("a generation survives its engine, without a gap or a repeat")
 {
   struct Row
@@ -345,39 +390,24 @@
               false },
        }) {
     CAPTURE(row.m_name);
-    ForwardSite site;
-    std::vector<std::unique_ptr<FakeEngine>> engines;
-    for (const char* id : { "e1", "e2" }) {
-      engines.push_back(std::make_unique<FakeEngine>(site, id));
-      FakeEngine* engine = engines.back().get();
-      engine->m_hasCopy = row.m_hasCopy;
-      site.AddUpstream(
-        id,
-        "engines",
-        [engine](const HttpRequest& aRequest, const Writer& aWriter) {
-          engine->Handle(aRequest, aWriter);
-        });
-    }
-    auto call = site.Start("/stream/x", kLongOutput);
-    site.RunUntil(
-      [&] { return engines[0]->m_starts + engines[1]->m_starts > 0; });
-    FakeEngine& first = engines[0]->m_starts > 0 ? *engines[0] : *engines[1];
-    FakeEngine& second = &first == engines[0].get() ? *engines[1] : *engines[0];
-    CHECK(first.m_backups ==
-          std::vector<std::string>{ ToString(site.EndpointOf(second.m_id)) });
+    TwoEngines engines(
+      true, [&](FakeEngine& aEngine) { aEngine.m_hasCopy = row.m_hasCopy; });
+    FakeEngine& first = engines.First();
+    FakeEngine& second = engines.Second();
+    Endpoint backup = engines.m_site.EndpointOf(second.m_id);
+    CHECK(first.m_backups == std::vector<std::string>{ ToString(backup) });
     if (row.m_breakAfter > 0) {
-      site.RunUntil([&] { return first.m_made >= row.m_breakAfter; });
+      engines.m_site.RunUntil([&] { return first.m_made >= row.m_breakAfter; });
       if (row.m_isNoticeGiven) {
-        site.SetState(first.m_id, UpstreamState::Leaving);
+        engines.m_site.SetState(first.m_id, UpstreamState::Leaving);
       } else {
         first.Break();
       }
     }
-    site.RunUntil([&] { return call->m_isDone; });
-    CHECK(call->m_status.ok() == row.m_isWhole);
-    CHECK((call->m_response.m_body == Events(40)) == row.m_isWhole);
+    engines.Finish();
+    CHECK(engines.m_call->m_status.ok() == row.m_isWhole);
+    CHECK((engines.m_call->m_response.m_body == Events(40)) == row.m_isWhole);
     CHECK(second.m_starts == (row.m_breakAfter > 0 && row.m_hasCopy ? 1 : 0));
-    CHECK(site.Gateway().OpenRequests() == 0);
   }
 }
 
@@ -391,44 +421,29 @@
     /// Where the generation goes on.
     bool m_isAtTarget;
   };
-  for (const Row& row :
-       { Row{ "both parts are copied", 200, 200, true },
+  for (const Row& row : {
+         Row{ "both parts are copied", 200, 200, true },
          Row{
            "the last part is not, and the source keeps it", 200, 503, false },
-         Row{ "there is no room at first", 503, 200, true } }) {
+         Row{ "there is no room at first", 503, 200, true },
+       }) {
     CAPTURE(row.m_name);
-    ForwardSite site(false);
-    std::vector<std::unique_ptr<FakeEngine>> engines;
-    for (const char* id : { "e1", "e2" }) {
-      engines.push_back(std::make_unique<FakeEngine>(site, id));
-      FakeEngine* engine = engines.back().get();
-      engine->m_most = 40;
-      engine->m_copyStatus = row.m_copyStatus;
-      engine->m_lastCopyStatus = row.m_lastCopyStatus;
-      site.AddUpstream(
-        id,
-        "engines",
-        [engine](const HttpRequest& aRequest, const Writer& aWriter) {
-          engine->Handle(aRequest, aWriter);
-        });
-    }
-    auto call = site.Start("/stream/x", kLongOutput);
-    site.RunUntil(
-      [&] { return engines[0]->m_starts + engines[1]->m_starts > 0; });
-    FakeEngine& source = engines[0]->m_starts > 0 ? *engines[0] : *engines[1];
-    FakeEngine& target =
-      &source == engines[0].get() ? *engines[1] : *engines[0];
+    TwoEngines engines(false, [&](FakeEngine& aEngine) {
+      aEngine.m_copyStatus = row.m_copyStatus;
+      aEngine.m_lastCopyStatus = row.m_lastCopyStatus;
+    });
+    FakeEngine& source = engines.First();
     CHECK(source.m_backups == std::vector<std::string>{ "" });
-    site.RunUntil([&] { return source.m_made >= 5; });
-    site.SetState(source.m_id, UpstreamState::Leaving);
+    engines.m_site.RunUntil([&] { return source.m_made >= 5; });
+    engines.m_site.SetState(source.m_id, UpstreamState::Leaving);
     if (row.m_copyStatus != 200) {
-      site.RunUntil([&] { return source.m_copies >= 2; });
+      engines.m_site.RunUntil([&] { return source.m_copies >= 2; });
       source.m_copyStatus = 200;
     }
-    site.RunUntil([&] { return call->m_isDone; });
-    CHECK(call->m_status.ok());
-    CHECK(call->m_response.m_body == Events(40));
-    CHECK(target.m_starts == (row.m_isAtTarget ? 1 : 0));
+    engines.Finish();
+    CHECK(engines.m_call->m_status.ok());
+    CHECK(engines.m_call->m_response.m_body == Events(40));
+    CHECK(engines.Second().m_starts == (row.m_isAtTarget ? 1 : 0));
     CHECK(source.m_starts >= (row.m_isAtTarget ? 1 : 2));
   }
 }
