[Forwarding] Stop a moving generation only once the link is quiet

Generations that had outrun their estimate were not counted in the order of turns, so they started beside the one whose turn it was. Ruled out: size of the last part (5 to 60 ms on a quiet link).

Change: copies go in rounds while the generation runs, until one takes no longer than a quiet link does (90 ms) or 900 ms have passed; one predicate says who moves and who has a turn. Both are pure (MovePlan) with a test that replays the pattern.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -20,6 +20,7 @@
 class ForwardFlow;
 class Membership;
 class Metrics;
+class MoveTurns;
 
 struct ForwardOptions
 {
@@ -108,7 +109,6 @@
   void RunPlacement();
   void SendLedger();
   void StartDueMoves();
-  bool IsTurnOf(const ForwardFlow& aFlow) const;
 
   EventLoop& m_loop;
   Membership& m_membership;
@@ -122,8 +122,7 @@
   std::vector<EarlyRequest> m_early;
   std::map<std::string, RetryBudget> m_retries;
   std::map<RequestId, std::shared_ptr<ForwardFlow>> m_flows;
-  /// When each leaving upstream was first seen to leave.
-  std::map<UpstreamId, Instant> m_leavingSince;
+  std::unique_ptr<MoveTurns> m_moveTurns;
   std::string m_idPrefix;
   uint64_t m_nextId = 1;
   bool m_takesWork = true;
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -1,11 +1,14 @@
 #include "persimmontally/Forwarding/ForwardGateway.h"
 
 #include "ForwardFlow.h"
+#include "MovePlan.h"
 
 #include "persimmontally/Membership/Membership.h"
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
+#include <set>
+
 namespace persimmontally {
 
 /// Priorities of routes that are told apart within one priority of accounts.
@@ -16,9 +19,6 @@
 /// about a second after a start, and callers of short work wait 2.5 s.
 static constexpr Duration kLongestEarlyWait = milliseconds(1500);
 static constexpr size_t kMostEarlyRequests = 500;
-/// Longest turn of a generation that moves off an engine: a copy of 4,000
-/// tokens took 0.3 s on the links of the engines that were measured.
-static constexpr Duration kMoveTurn = milliseconds(350);
 
 ForwardGateway::ForwardGateway(EventLoop& aLoop,
                                Membership& aMembership,
@@ -34,6 +34,7 @@
   , m_placement(m_options.m_dispatch, aSeed)
   , m_connections(aLoop)
   , m_random(aSeed)
+  , m_moveTurns(std::make_unique<MoveTurns>())
   , m_idPrefix(m_options.m_host.Value() + "-" + std::to_string(aSeed % 100000))
 {
 }
@@ -238,58 +239,33 @@
   m_placement.ForgetHost(m_loop.Now(), aHost);
 }
 
-/// Takes generations off leaving upstreams. Those with a backup go at once. The
-/// copies of the others would queue on the engine's link, and each would be
-/// stopped while it waits for the next one's copy: so they go one after the
-/// other, in the order of the ledger, which all hosts share. One whose host
-/// does not get on holds up the rest only for the time of its turn.
+/// Takes generations off leaving upstreams: those with a backup at once, the
+/// others in turns.
 void ForwardGateway::StartDueMoves()
 {
   Instant now = m_loop.Now();
-  std::erase_if(m_leavingSince, [&](const auto& aItem) {
-    return m_membership.Upstreams().Find(aItem.first) == nullptr;
-  });
+  std::set<UpstreamId> away;
   for (const auto& [id, entry] : m_membership.Upstreams().Rows()) {
     if (entry.m_row.m_state != UpstreamState::Serving) {
-      m_leavingSince.try_emplace(id, now);
+      away.insert(id);
     }
   }
+  m_moveTurns->Update(now, away);
   std::vector<std::shared_ptr<ForwardFlow>> leaving;
   for (const auto& [id, flow] : m_flows) {
-    bool isLeaving = m_leavingSince.contains(flow->Upstream());
-    if (isLeaving && flow->CanMove()) {
+    if (m_moveTurns->IsLeaving(flow->Upstream()) && flow->CanMove()) {
       leaving.push_back(flow);
     }
   }
   for (const auto& flow : leaving) {
-    if (flow->HasBackup() || IsTurnOf(*flow)) {
+    if (flow->HasBackup() ||
+        m_moveTurns->IsTurnOf(now,
+                              flow->Upstream(),
+                              flow->PlacedAs().Value(),
+                              m_placement.RowsOn(flow->Upstream()))) {
       flow->LeaveUpstream();
     }
   }
 }
 
-/// Whether the generations before this one have left the engine, or have had
-/// the time for it.
-bool ForwardGateway::IsTurnOf(const ForwardFlow& aFlow) const
-{
-  Duration before(0);
-  bool othersFirst = false;
-  for (const LedgerRow& row : m_placement.RowsOn(aFlow.Upstream())) {
-    if (row.m_key == aFlow.PlacedAs().Value()) {
-      break;
-    }
-    uint32_t expected =
-      row.m_expectedTokens > 0 ? row.m_expectedTokens : row.m_maxTokens;
-    if (row.m_isCopy || expected <= row.m_tokens + kTokensWithinNotice) {
-      continue;
-    }
-    othersFirst = true;
-    before += kMoveTurn;
-  }
-  auto since = m_leavingSince.find(aFlow.Upstream());
-  bool hadTime =
-    since != m_leavingSince.end() && m_loop.Now() >= since->second + before;
-  return !othersFirst || hadTime;
-}
-
 } // namespace persimmontally
--- a/lib/Forwarding/ForwardMoves.cpp
+++ b/lib/Forwarding/ForwardMoves.cpp
@@ -86,10 +86,9 @@
 bool ForwardFlow::CanMove() const
 {
   bool canMove = IsGeneration() && m_target.m_service->m_engine->m_canMove;
-  uint32_t soFar = TokensSoFar();
-  bool isLong = ExpectedTokens() > soFar + kTokensWithinNotice ||
-                (soFar > 0 && ExpectedTokens() <= soFar &&
-                 m_request.m_maxOutputTokens > soFar + kTokensWithinNotice);
+  bool isLong = OutlastsNotice({ m_request.m_expectedOutputTokens,
+                                 m_request.m_maxOutputTokens,
+                                 TokensSoFar() });
   bool isMoving = m_move || m_resume;
   return m_state == State::Streaming && (canMove || HasBackup()) && !isMoving &&
          isLong && (!HasBackup() || IsBackupSettled()) &&
--- a/lib/Forwarding/GenerationMove.cpp
+++ b/lib/Forwarding/GenerationMove.cpp
@@ -19,6 +19,7 @@
   , m_source(std::move(aSource))
   , m_target(std::move(aTarget))
   , m_callback(std::move(aCallback))
+  , m_rounds(aGateway.Loop().Now())
 {
 }
 
@@ -57,6 +58,7 @@
              { "source", ToString(m_source) },
              { "target", ToString(m_target) },
              { "last", m_isLast ? "yes" : "no" },
+             { "rounds", m_rounds.Rounds() },
              { "status",
                aStatus.ok() ? std::to_string(aResponse.m_status)
                             : std::string(aStatus.message()) },
@@ -65,7 +67,7 @@
     m_handle = answer.m_handle;
   }
   if (answer.m_isCopied && !m_isLast) {
-    m_isLast = true;
+    m_isLast = m_rounds.OnCopied(m_gateway.Loop().Now());
     Call();
     return;
   }
--- a/lib/Forwarding/GenerationMove.h
+++ b/lib/Forwarding/GenerationMove.h
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONTALLY_LIB_FORWARDING_GENERATIONMOVE_H
 #define PERSIMMONTALLY_LIB_FORWARDING_GENERATIONMOVE_H
 
+#include "MovePlan.h"
 #include "persimmontally/Forwarding/ForwardGateway.h"
 
 #include <functional>
@@ -9,13 +10,10 @@
 
 namespace persimmontally {
 
-/// Output that an engine makes while a notice of its reclaim runs (1.5 s and
-/// more, at about 9 ms a token): what ends sooner need not move.
-inline constexpr uint32_t kTokensWithinNotice = 120;
-
 /// Copies the memory of one running generation to another engine: first while
-/// it runs, then, with the engine stopped, what it has made since. So the
-/// pause that the caller sees is that of the second, short copy.
+/// it runs, in rounds until the link is quiet, then, with the engine stopped,
+/// what it has made since. So the pause that the caller sees is that of the
+/// last, short copy.
 class GenerationMove : public std::enable_shared_from_this<GenerationMove>
 {
 public:
@@ -38,7 +36,6 @@
   void Start();
   /// Ends the move without a callback; a copy that was made is freed.
   void Cancel();
-  bool IsStopping() const { return m_isLast; }
 
 private:
   void Call();
@@ -52,6 +49,7 @@
   Callback m_callback;
   std::shared_ptr<HttpCall> m_call;
   std::string m_handle;
+  CopyRounds m_rounds;
   bool m_isLast = false;
   bool m_isEnded = false;
 };
--- /dev/null
+++ b/unittests/Forwarding/MovePlanTest.cpp
@@ -0,0 +1,123 @@
+// Replays how generations leave a reclaimed engine; see MovePlan.h.
+
+#include "../../lib/Forwarding/MovePlan.h"
+
+#include <doctest/doctest.h>
+
+namespace persimmontally {
+
+TEST_CASE("what outlasts the notice of a reclaim moves")
+{
+  struct Row
+  {
+    const char* m_name;
+    OutputSize m_size;
+    bool m_outlasts;
+  };
+  for (const Row& row : {
+         Row{ "long by its estimate", { 600, 900, 100 }, true },
+         Row{ "nearly done by its estimate", { 600, 900, 500 }, false },
+         Row{ "no estimate", { 0, 900, 100 }, true },
+         Row{ "no estimate, nearly done", { 0, 900, 800 }, false },
+         Row{ "past its estimate, far from its maximum",
+              { 600, 1200, 700 },
+              true },
+         Row{ "past its estimate, near its maximum", { 600, 800, 700 }, false },
+         Row{ "an estimate above the maximum", { 5000, 200, 100 }, false },
+       }) {
+    CAPTURE(row.m_name);
+    CHECK(OutlastsNotice(row.m_size) == row.m_outlasts);
+  }
+}
+
+TEST_CASE("generations leave an engine one after the other")
+{
+  auto makeRow = [](const char* aKey, OutputSize aSize, bool aIsCopy) {
+    LedgerRow row;
+    row.m_key = aKey;
+    row.m_upstream = UpstreamId("e");
+    row.m_expectedTokens = aSize.m_expectedTokens;
+    row.m_maxTokens = aSize.m_maxTokens;
+    row.m_tokens = aSize.m_tokensSoFar;
+    row.m_isCopy = aIsCopy;
+    return row;
+  };
+  // The second one has outrun its estimate, and runs on: it has a turn too.
+  const std::vector<LedgerRow> rows = {
+    makeRow("a", { 600, 900, 100 }, false),
+    makeRow("b", { 600, 1200, 700 }, false),
+    makeRow("c", { 10, 20, 0 }, false),
+    makeRow("d", { 600, 900, 100 }, true),
+    makeRow("e", { 600, 900, 100 }, false),
+  };
+  struct Row
+  {
+    const char* m_name;
+    const char* m_key;
+    size_t m_left;
+    Duration m_sinceNotice;
+    bool m_isTurn;
+  };
+  for (const Row& row : {
+         Row{ "the first goes at once", "a", 0, milliseconds(0), true },
+         Row{ "the second waits", "b", 0, milliseconds(300), false },
+         Row{ "until the first has left", "b", 1, milliseconds(300), true },
+         Row{ "or had the time", "b", 0, milliseconds(350), true },
+         Row{ "the last waits for two", "e", 0, milliseconds(650), false },
+         Row{ "one that outran its estimate counts",
+              "e",
+              1,
+              milliseconds(300),
+              false },
+         Row{ "short ones and copies do not", "e", 2, milliseconds(0), true },
+       }) {
+    CAPTURE(row.m_name);
+    Instant start = Instant() + seconds(1);
+    MoveTurns turns;
+    turns.Update(start, { UpstreamId("e") });
+    std::vector<LedgerRow> there(rows.begin() + row.m_left, rows.end());
+    CHECK(turns.IsTurnOf(
+            start + row.m_sinceNotice, UpstreamId("e"), row.m_key, there) ==
+          row.m_isTurn);
+  }
+  MoveTurns turns;
+  turns.Update(Instant(), { UpstreamId("e") });
+  turns.Update(Instant(), {});
+  CHECK(!turns.IsLeaving(UpstreamId("e")));
+  CHECK(!turns.IsTurnOf(Instant(), UpstreamId("e"), "a", rows));
+}
+
+TEST_CASE("a generation is stopped for its last part when the link is quiet")
+{
+  struct Row
+  {
+    const char* m_name;
+    std::vector<int> m_roundsMs;
+    /// After how many rounds it is stopped.
+    size_t m_stopsAfter;
+  };
+  for (const Row& row : {
+         Row{ "a small copy on a quiet link", { 40 }, 1 },
+         Row{ "a whole copy, then a quiet link", { 215, 6 }, 2 },
+         Row{ "another copy comes between", { 215, 190, 6 }, 3 },
+         Row{ "the link stays busy until time runs out",
+              { 215, 240, 240, 240, 240 },
+              4 },
+       }) {
+    CAPTURE(row.m_name);
+    Instant now = Instant() + seconds(1);
+    CopyRounds rounds(now);
+    bool isStopped = false;
+    for (int took : row.m_roundsMs) {
+      now += milliseconds(took);
+      isStopped = rounds.OnCopied(now);
+      if (isStopped) {
+        break;
+      }
+    }
+    CHECK(isStopped);
+    CHECK(rounds.Rounds() == row.m_stopsAfter);
+  }
+}
+
+} // namespace persimmontally
