--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -435,56 +435,6 @@
   }
 }
 
-/// 0 within a data centre, 1 within a region, 2 beyond.
-static int DistanceOf(const UpstreamRow& aLeft, const UpstreamRow& aRight)
-{
-  if (aLeft.m_dataCentre == aRight.m_dataCentre) {
-    return 0;
-  }
-  return aLeft.m_region == aRight.m_region ? 1 : 2;
-}
-
-UpstreamId Dispatcher::PickCopyTarget(Instant aNow,
-                                      const UpstreamTable& aTable,
-                                      const Ticket& aTicket,
-                                      const UpstreamRow& aSource,
-                                      CopyPurpose aPurpose,
-                                      double aMostUse)
-{
-  Lane& lane = m_lanes[KeyOf(aTicket)];
-  ListUpstreams(aNow, aTable, aTicket, lane);
-  Occupancy need = NeedOf(aTicket);
-  Ticket ticket = aTicket;
-  int furthest = 0;
-  if (aPurpose == CopyPurpose::Rescue) {
-    ticket.m_rank = Rank::Urgent;
-    furthest = 1;
-  }
-  UpstreamId best;
-  std::pair<int, double> least(furthest, aMostUse);
-  for (const UpstreamEntry* entry : lane.m_upstreams) {
-    const UpstreamRow& row = entry->m_row;
-    int distance = DistanceOf(row, aSource);
-    bool isCandidate = distance <= least.first &&
-                       UpstreamTable::TakesWork(aNow, *entry) &&
-                       !ticket.m_excluded.contains(row.m_id);
-    if (!isCandidate ||
-        !HasRoom(aNow, *entry, lane, ticket, need, lane.m_upstreams.size())) {
-      continue;
-    }
-    Occupancy sum = RefreshOccupancy(aNow, row.m_id);
-    sum += need;
-    double use = ForecastPeak(m_options.m_forecast, sum) /
-                 std::max(1.0, row.MemoryTokens());
-    std::pair<int, double> cost(distance, use);
-    if (use <= aMostUse && cost <= least) {
-      least = cost;
-      best = row.m_id;
-    }
-  }
-  return best;
-}
-
 void Dispatcher::NoteDrain(Instant aNow, Lane& aLane)
 {
   double elapsed = ToSeconds(aNow - aLane.m_tickedAt);
