[Net] Retry a connection between hosts after 250 ms

Change: an attempt to connect ends after 250 ms and is repeated until the frame's time limit of 3 s.

--- a/lib/Net/FrameLink.cpp
+++ b/lib/Net/FrameLink.cpp
@@ -19,6 +19,10 @@
 static constexpr size_t kPrefixBytes = 4;
 /// Time limit for sending one frame, including the connection setup.
 static constexpr Duration kSendTimeout = seconds(3);
+/// Time limit for one attempt to connect. The kernel repeats a lost opening
+/// packet only after 1 s, so a host that has just become reachable is contacted
+/// sooner by a new attempt.
+static constexpr Duration kConnectTimeout = milliseconds(250);
 
 static std::string AddLengthPrefix(const std::string& aFrame)
 {
@@ -88,6 +92,7 @@
   OutboundConnection(boost::asio::io_context& aIo, const Endpoint& aTo)
     : m_socket(aIo)
     , m_deadline(aIo)
+    , m_connectTimer(aIo)
     , m_peer(aTo)
   {
   }
@@ -109,6 +114,8 @@
     error_code ignored;
     m_socket.close(ignored);
     m_deadline.cancel();
+    m_connectTimer.cancel();
+    m_isExpired = true;
     m_connected = false;
   }
 
@@ -131,19 +138,38 @@
 
   void Connect()
   {
+    m_isAttemptTimedOut = false;
     m_socket = tcp::socket(m_socket.get_executor());
+    m_connectTimer.expires_after(kConnectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError && !self->m_connected) {
+        error_code ignored;
+        self->m_isAttemptTimedOut = true;
+        self->m_socket.close(ignored);
+      }
+    });
     m_socket.async_connect(ToAsio<tcp>(m_peer),
                            [self = shared_from_this()](error_code aError) {
-                             if (aError) {
-                               self->HandleSendFailure();
-                               return;
-                             }
-                             ConfigureSocket(self->m_socket);
-                             self->m_connected = true;
-                             self->Write();
+                             self->OnConnect(aError);
                            });
   }
 
+  void OnConnect(error_code aError)
+  {
+    m_connectTimer.cancel();
+    if (m_isAttemptTimedOut && !m_isExpired) {
+      Connect();
+      return;
+    }
+    if (aError) {
+      HandleSendFailure();
+      return;
+    }
+    ConfigureSocket(m_socket);
+    m_connected = true;
+    Write();
+  }
+
   void Write()
   {
     boost::asio::async_write(
@@ -172,10 +198,12 @@
 
   void ArmDeadline()
   {
+    m_isExpired = false;
     m_deadline.expires_after(kSendTimeout);
     m_deadline.async_wait([self = shared_from_this()](error_code aError) {
       if (!aError) {
         error_code ignored;
+        self->m_isExpired = true;
         self->m_socket.close(ignored);
       }
     });
@@ -183,11 +211,17 @@
 
   tcp::socket m_socket;
   boost::asio::steady_timer m_deadline;
+  boost::asio::steady_timer m_connectTimer;
   Endpoint m_peer;
   std::deque<std::string> m_queue;
   size_t m_queuedBytes = 0;
   bool m_sendInProgress = false;
   bool m_connected = false;
+  /// Whether the current attempt to connect was closed by its time limit.
+  bool m_isAttemptTimedOut = false;
+  /// Whether the time limit of the current frame has passed, or the connection
+  /// was closed.
+  bool m_isExpired = false;
 };
 
 } // namespace
