[Membership] Relay changed upstreams in large fleets and gossip the latest change first

Cause: with 294 entry hosts every host pushed each changed row 27 times at 15 datagrams a second, in the order of ids, so gossip was full for minutes after a start, and a changed upstream went directly to 128 peers only.

Change: a changed upstream or poison row goes through one relay to each other data centre (a host with a disk if there is one) once there are more than 128 peers; rows that all receive directly, or that a joining host finds in tables, are pushed 3 times instead of the full count; the count grows with the logarithm plus 4; the rows with most pushes left go first; pushes run each 100 ms while upstreams changed; renewals carry the state, which repairs lost updates. The hosts table has a version, so that users of it rebuild their views only when it changes, and suspicions are looked up in an index.

MembershipTest passes, 3 s bound with all relays gone.

--- a/include/persimmontally/Membership/Membership.h
+++ b/include/persimmontally/Membership/Membership.h
@@ -27,6 +27,8 @@
   Duration m_suspicionTimeout = seconds(2);
   /// Period of pushes of changed rows.
   Duration m_pushPeriod = milliseconds(200);
+  /// The same while upstreams are among the changed rows.
+  Duration m_upstreamPushPeriod = milliseconds(100);
   /// Period of pushes of lease renewals.
   Duration m_renewalPeriod = seconds(1);
   /// Period of attempts to reach a host declared dead and the seeds that are
@@ -114,6 +116,8 @@
 
   const HostRow& Self() const { return m_self; }
   const std::map<HostId, HostRow>& Hosts() const { return m_hosts; }
+  /// Incremented when a host row is added, changed or removed.
+  uint64_t HostsVersion() const { return m_hostsVersion; }
   const HostRow* FindHost(const HostId& aId) const;
   /// Whether a host is a member and neither dead nor departed; a suspected
   /// host counts as alive.
@@ -144,7 +148,8 @@
   /// Raises the incarnation of this host if a row about it reports it as not
   /// alive or carries a newer incarnation.
   void RefuteIfSuspected(const HostRow& aRow);
-  void MergeUpstream(Instant aNow, const UpstreamRow& aRow);
+  /// Returns whether the row has changed the table.
+  bool MergeUpstream(Instant aNow, const UpstreamRow& aRow);
   void MergePoison(Instant aNow, const PoisonRow& aRow);
   /// Renews leases, and requests the sender's tables if a renewed upstream or
   /// its incarnation is unknown here.
@@ -152,11 +157,19 @@
                      const HostId& aFrom,
                      const GossipMessage& aMessage);
   void StoreHost(Instant aNow, const HostRow& aRow);
+  /// Stores and pushes a changed row of this host.
+  void StoreSelf();
   /// Sets a host's state if it comes after the current one in the order of
   /// `HostState`.
   void SetHostState(Instant aNow, const HostId& aId, HostState aState);
 
   void SendUpstreamUpdate(const UpstreamId& aId);
+  /// Sends rows of changed upstreams to all hosts of this data centre but one.
+  void ForwardUpstreams(const std::vector<UpstreamRow>& aRows,
+                        const HostId& aExcept);
+  /// Returns one live host of each other data centre that forwards to the
+  /// others there: one with a disk, which has a faster link, if there is one.
+  std::vector<HostId> PickRelays();
   void RunProbe(Instant aNow);
   void StartProbe(Instant aNow);
   void AdvanceSuspicions(Instant aNow);
@@ -188,6 +201,9 @@
   std::mt19937_64 m_random;
 
   std::map<HostId, HostRow> m_hosts;
+  uint64_t m_hostsVersion = 1;
+  /// Hosts in the state `Suspect`.
+  std::set<HostId> m_suspects;
   std::map<HostId, Instant> m_stateSince;
   UpstreamTable m_upstreams;
   /// By fingerprint.
@@ -214,6 +230,8 @@
   Instant m_nextReconnect;
   Instant m_nextExchange;
   std::map<HostId, Instant> m_tablesRequestedAt;
+  /// When this host last received tables without having a live peer.
+  Instant m_joinedAt{ -std::chrono::hours(1) };
 
   std::vector<MembershipSend> m_sends;
   std::vector<HostChange> m_changes;
--- a/include/persimmontally/Membership/UpstreamTable.h
+++ b/include/persimmontally/Membership/UpstreamTable.h
@@ -55,8 +55,8 @@
   UpstreamMergeResult Merge(Instant aNow, const UpstreamRow& aRow);
   /// Marks an upstream as gone; returns false if it is unknown.
   bool MarkGone(Instant aNow, const UpstreamId& aId);
-  /// Renews a lease and updates the load unless the renewal is old; returns
-  /// false if the upstream or its incarnation is unknown.
+  /// Renews a lease and updates the load and the state unless the renewal is
+  /// old; returns false if the upstream or its incarnation is unknown.
   bool Renew(Instant aNow, const UpstreamRenewal& aRenewal);
   /// Removes the rows whose lease ended more than `kRetention` ago.
   void RemoveExpired(Instant aNow);
--- a/include/persimmontally/Wire/GossipMessage.h
+++ b/include/persimmontally/Wire/GossipMessage.h
@@ -17,8 +17,8 @@
   ProbeRequest,
   /// Carries rows and expects no response.
   Push,
-  /// Like `Push`; the receiver also forwards the renewals, as a `Push`, to the
-  /// hosts of its data centre.
+  /// Like `Push`; the receiver also forwards the renewals and poison rows, as a
+  /// `Push`, to the hosts of its data centre.
   Relay,
 };
 
@@ -44,10 +44,21 @@
   }
 };
 
-/// Full membership tables, sent over TCP to a host that joins or that comes
-/// back after a partition.
+enum class TablesKind : uint8_t
+{
+  /// All rows, for a host that joins or that comes back after a partition.
+  Full,
+  /// Changed upstreams, which all hosts receive in this way.
+  Update,
+  /// Like `Update`; the receiver also forwards the upstreams that are new to it
+  /// to the hosts of its data centre.
+  RelayedUpdate,
+};
+
+/// Membership rows sent over TCP.
 struct MembershipTables
 {
+  TablesKind m_kind = TablesKind::Full;
   /// Whether the receiver shall reply with its own tables.
   bool m_isReplyRequested = false;
   std::vector<HostRow> m_hosts;
@@ -59,7 +70,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_isReplyRequested, m_hosts, m_upstreams, m_poison);
+    aArchive(m_kind, m_isReplyRequested, m_hosts, m_upstreams, m_poison);
   }
 };
 
--- a/include/persimmontally/Wire/UpstreamRow.h
+++ b/include/persimmontally/Wire/UpstreamRow.h
@@ -88,6 +88,8 @@
   UpstreamId m_id;
   uint64_t m_incarnation = 0;
   uint64_t m_sequence = 0;
+  /// Repairs a lost update of the state.
+  UpstreamState m_state = UpstreamState::Serving;
   UpstreamLoad m_load;
 
   bool operator==(const UpstreamRenewal&) const = default;
@@ -95,7 +97,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_id, m_incarnation, m_sequence, m_load);
+    aArchive(m_id, m_incarnation, m_sequence, m_state, m_load);
   }
 };
 
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -6,10 +6,15 @@
 namespace persimmontally {
 
 static constexpr size_t kMaxPoisonDeaths = 8;
-/// Peers that receive an urgent update directly, ahead of the next push.
+/// Number of peers up to which all receive an urgent update directly. In a
+/// larger fleet, those in other data centres receive it through a relay.
 static constexpr size_t kMaxDirectTargets = 128;
 /// Period of attempts to reach the seeds while this host has no live peer.
 static constexpr Duration kIsolatedReconnectPeriod = milliseconds(200);
+/// Time after the first contact with a peer in which tables of others arrive.
+static constexpr Duration kJoinTime = seconds(2);
+/// Number of pushes of a row that most other hosts receive without gossip.
+static constexpr int kPushesOfKnownRows = 3;
 /// Minimum time between requests for the tables of one host.
 static constexpr Duration kTablesRequestPeriod = seconds(2);
 
@@ -39,10 +44,23 @@
     m_stateSince[aRow.m_id] = aNow;
   }
   m_hosts[aRow.m_id] = aRow;
+  ++m_hostsVersion;
+  if (aRow.m_state == HostState::Suspect) {
+    m_suspects.insert(aRow.m_id);
+  } else {
+    m_suspects.erase(aRow.m_id);
+  }
   m_hostPushesLeft[aRow.m_id] = RetransmitCount();
   m_changes.push_back(std::move(change));
 }
 
+void Membership::StoreSelf()
+{
+  m_hosts[m_self.m_id] = m_self;
+  ++m_hostsVersion;
+  m_hostPushesLeft[m_self.m_id] = RetransmitCount();
+}
+
 void Membership::RefuteIfSuspected(const HostRow& aRow)
 {
   bool suspected = aRow.m_state != HostState::Alive &&
@@ -53,8 +71,7 @@
     return;
   }
   m_self.m_incarnation = aRow.m_incarnation + 1;
-  m_hosts[m_self.m_id] = m_self;
-  m_hostPushesLeft[m_self.m_id] = RetransmitCount();
+  StoreSelf();
 }
 
 void Membership::MergeHost(Instant aNow, const HostRow& aRow)
@@ -99,11 +116,13 @@
   StoreHost(aNow, row);
 }
 
-void Membership::MergeUpstream(Instant aNow, const UpstreamRow& aRow)
+bool Membership::MergeUpstream(Instant aNow, const UpstreamRow& aRow)
 {
-  if (m_upstreams.Merge(aNow, aRow) == UpstreamMergeResult::Changed) {
-    m_upstreamPushesLeft[aRow.m_id] = RetransmitCount();
+  if (m_upstreams.Merge(aNow, aRow) != UpstreamMergeResult::Changed) {
+    return false;
   }
+  m_upstreamPushesLeft[aRow.m_id] = RetransmitCount();
+  return true;
 }
 
 void Membership::MergePoison(Instant aNow, const PoisonRow& aRow)
@@ -150,22 +169,60 @@
   return true;
 }
 
-/// Sends a changed row directly to the peers, since an upstream that is being
-/// reclaimed has less time left than a round of gossip takes. Peers that do not
-/// receive it get the row by gossip.
+/// Sends a changed row ahead of the next push, since an upstream that is being
+/// reclaimed has less time left than the rounds of gossip take. Hosts that a
+/// relay does not forward it to get the row by gossip.
 void Membership::SendUpstreamUpdate(const UpstreamId& aId)
 {
+  MembershipTables update;
+  update.m_kind = TablesKind::Update;
+  update.m_upstreams.push_back(m_upstreams.Find(aId)->m_row);
   std::vector<HostId> targets = AlivePeers();
   if (targets.size() > kMaxDirectTargets) {
-    targets.resize(kMaxDirectTargets);
+    targets = AliveHosts(true);
+    MembershipTables relayed = update;
+    relayed.m_kind = TablesKind::RelayedUpdate;
+    for (const HostId& id : PickRelays()) {
+      m_sends.push_back({ m_hosts.at(id).m_peer, relayed });
+    }
   }
   for (const HostId& id : targets) {
-    MembershipTables update;
-    update.m_upstreams.push_back(m_upstreams.Find(aId)->m_row);
-    m_sends.push_back({ m_hosts.at(id).m_peer, std::move(update) });
+    m_sends.push_back({ m_hosts.at(id).m_peer, update });
+  }
+}
+
+void Membership::ForwardUpstreams(const std::vector<UpstreamRow>& aRows,
+                                  const HostId& aExcept)
+{
+  if (aRows.empty()) {
+    return;
+  }
+  MembershipTables update;
+  update.m_kind = TablesKind::Update;
+  update.m_upstreams = aRows;
+  for (const HostId& id : AliveHosts(true)) {
+    if (id != aExcept) {
+      m_sends.push_back({ m_hosts.at(id).m_peer, update });
+    }
   }
 }
 
+std::vector<HostId> Membership::PickRelays()
+{
+  std::vector<HostId> relays;
+  for (auto& [dataCentre, hosts] : AliveRemotePeers()) {
+    std::vector<HostId> withDisk;
+    for (const HostId& id : hosts) {
+      const HostRow& row = m_hosts.at(id);
+      if (!row.m_disk.Empty() && row.m_state == HostState::Alive) {
+        withDisk.push_back(id);
+      }
+    }
+    relays.push_back(PickRandom(withDisk.empty() ? hosts : withDisk));
+  }
+  return relays;
+}
+
 void Membership::ReportPoison(Instant aNow, const PoisonRow& aRow)
 {
   PoisonRow before = m_poison[aRow.m_fingerprint];
@@ -176,15 +233,19 @@
   }
   // A caller can repeat the request immediately through any host, so the row
   // is sent without waiting for the next push.
+  GossipMessage message;
+  message.m_poison.push_back(after);
   std::vector<HostId> targets = AlivePeers();
   if (targets.size() > kMaxDirectTargets) {
-    std::shuffle(targets.begin(), targets.end(), m_random);
-    targets.resize(kMaxDirectTargets);
+    targets = AliveHosts(true);
+    GossipMessage relayed = message;
+    relayed.m_kind = GossipKind::Relay;
+    for (const HostId& id : PickRelays()) {
+      SendGossip(m_hosts.at(id).m_peer, relayed);
+    }
   }
   for (const HostId& id : targets) {
-    GossipMessage message;
-    message.m_poison.push_back(after);
-    SendGossip(m_hosts.at(id).m_peer, std::move(message));
+    SendGossip(m_hosts.at(id).m_peer, message);
   }
 }
 
@@ -205,8 +266,7 @@
     return;
   }
   m_self.m_listsIndex = aIndex;
-  m_hosts[m_self.m_id] = m_self;
-  m_hostPushesLeft[m_self.m_id] = RetransmitCount();
+  StoreSelf();
 }
 
 void Membership::SetDisk(const DiskId& aDisk, const std::string& aGroup)
@@ -216,8 +276,7 @@
   }
   m_self.m_disk = aDisk;
   m_self.m_group = aGroup;
-  m_hosts[m_self.m_id] = m_self;
-  m_hostPushesLeft[m_self.m_id] = RetransmitCount();
+  StoreSelf();
 }
 
 void Membership::Leave(Instant)
@@ -332,6 +391,7 @@
   GossipMessage copy;
   copy.m_kind = GossipKind::Push;
   copy.m_renewals = aMessage.m_renewals;
+  copy.m_poison = aMessage.m_poison;
   for (const HostId& id : AliveHosts(true)) {
     SendGossip(m_hosts.at(id).m_peer, copy);
   }
@@ -341,15 +401,41 @@
                                const HostId& aFrom,
                                const MembershipTables& aTables)
 {
+  // A host that joins learns rows that most others have already, and an update
+  // is sent to all. Hosts that it does not reach learn the row by gossip and
+  // push it as often as any change.
+  if (AlivePeers().empty()) {
+    m_joinedAt = aNow;
+  }
+  bool isJoining = aNow < m_joinedAt + kJoinTime;
+  auto hostPushesLeft = m_hostPushesLeft;
+  auto upstreamPushesLeft = m_upstreamPushesLeft;
+  auto limitPushes = [](auto& aPushesLeft, const auto& aBefore) {
+    for (auto& [id, left] : aPushesLeft) {
+      if (!aBefore.contains(id)) {
+        left = std::min(left, kPushesOfKnownRows);
+      }
+    }
+  };
   for (const HostRow& row : aTables.m_hosts) {
     MergeHost(aNow, row);
   }
+  std::vector<UpstreamRow> changed;
   for (const UpstreamRow& row : aTables.m_upstreams) {
-    MergeUpstream(aNow, row);
+    if (MergeUpstream(aNow, row)) {
+      changed.push_back(row);
+    }
+  }
+  if (aTables.m_kind == TablesKind::RelayedUpdate) {
+    ForwardUpstreams(changed, aFrom);
   }
   for (const PoisonRow& row : aTables.m_poison) {
     MergePoison(aNow, row);
   }
+  if (isJoining || aTables.m_kind != TablesKind::Full) {
+    limitPushes(m_hostPushesLeft, hostPushesLeft);
+    limitPushes(m_upstreamPushesLeft, upstreamPushesLeft);
+  }
   const HostRow* from = FindHost(aFrom);
   if (aTables.m_isReplyRequested && from != nullptr) {
     SendTables(from->m_peer, false);
@@ -363,8 +449,10 @@
   RunProbe(aNow);
   AdvanceSuspicions(aNow);
   if (aNow >= m_nextPush) {
-    m_nextPush = aNow + m_options.m_pushPeriod;
     PushChanges();
+    m_nextPush =
+      aNow + (m_upstreamPushesLeft.empty() ? m_options.m_pushPeriod
+                                           : m_options.m_upstreamPushPeriod);
   }
   if (aNow >= m_nextRenewal) {
     m_nextRenewal = aNow + m_options.m_renewalPeriod;
@@ -444,9 +532,8 @@
 void Membership::AdvanceSuspicions(Instant aNow)
 {
   std::vector<HostId> expired;
-  for (const auto& [id, row] : m_hosts) {
-    if (row.m_state == HostState::Suspect &&
-        aNow >= m_stateSince[id] + m_options.m_suspicionTimeout) {
+  for (const HostId& id : m_suspects) {
+    if (aNow >= m_stateSince[id] + m_options.m_suspicionTimeout) {
       expired.push_back(id);
     }
   }
@@ -461,11 +548,12 @@
 void Membership::RemoveExpiredRows(Instant aNow)
 {
   m_upstreams.RemoveExpired(aNow);
-  std::erase_if(m_hosts, [&](const auto& aItem) {
+  size_t removed = std::erase_if(m_hosts, [&](const auto& aItem) {
     return aItem.second.m_state > HostState::Suspect &&
            aItem.first != m_self.m_id &&
            m_stateSince[aItem.first] + m_options.m_hostRetention < aNow;
   });
+  m_hostsVersion += removed > 0 ? 1 : 0;
   std::erase_if(m_poison, [&](const auto& aItem) {
     return m_poisonChangedAt[aItem.first] + m_options.m_poisonRetention < aNow;
   });
--- a/lib/Membership/MembershipSends.cpp
+++ b/lib/Membership/MembershipSends.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 
 namespace persimmontally {
 
@@ -11,23 +12,43 @@
 /// commonly available.
 static constexpr size_t kHostsPerMessage = 3;
 static constexpr size_t kUpstreamsPerMessage = 2;
+/// The same in a message without rows of hosts.
+static constexpr size_t kUpstreamsAlonePerMessage = 5;
 static constexpr size_t kRenewalsPerMessage = 18;
 static constexpr size_t kPoisonPerMessage = 2;
 
+/// Pushes of a changed row beyond the logarithm of the number of hosts: each
+/// further one divides the hosts that the row does not reach by about e.
+static constexpr int kExtraPushes = 4;
+
 int Membership::RetransmitCount() const
 {
-  return 3 * static_cast<int>(std::bit_width(m_hosts.size() + 1));
+  return kExtraPushes + static_cast<int>(std::bit_width(m_hosts.size() + 1));
 }
 
 void Membership::FillChanges(GossipMessage& aMessage)
 {
+  // The rows with the most pushes left are the latest changes, or those that
+  // the fewest hosts have.
   auto drain = [](auto& aPushesLeft, size_t aLimit, auto aAdd) {
-    size_t count = 0;
-    for (auto at = aPushesLeft.begin();
-         at != aPushesLeft.end() && count < aLimit;) {
+    std::vector<std::pair<int, decltype(aPushesLeft.begin())>> rows;
+    for (auto at = aPushesLeft.begin(); at != aPushesLeft.end(); ++at) {
+      rows.emplace_back(-at->second, at);
+    }
+    size_t count = std::min(aLimit, rows.size());
+    std::partial_sort(rows.begin(),
+                      rows.begin() + static_cast<ptrdiff_t>(count),
+                      rows.end(),
+                      [](const auto& aLeft, const auto& aRight) {
+                        return std::tie(aLeft.first, aLeft.second->first) <
+                               std::tie(aRight.first, aRight.second->first);
+                      });
+    for (size_t i = 0; i < count; ++i) {
+      auto at = rows[i].second;
       aAdd(at->first);
-      ++count;
-      at = --at->second <= 0 ? aPushesLeft.erase(at) : std::next(at);
+      if (--at->second <= 0) {
+        aPushesLeft.erase(at);
+      }
     }
   };
   drain(m_hostPushesLeft, kHostsPerMessage, [&](const HostId& aId) {
@@ -35,7 +56,9 @@
       aMessage.m_hosts.push_back(*row);
     }
   });
-  drain(m_upstreamPushesLeft, kUpstreamsPerMessage, [&](const UpstreamId& aId) {
+  size_t upstreams =
+    aMessage.m_hosts.empty() ? kUpstreamsAlonePerMessage : kUpstreamsPerMessage;
+  drain(m_upstreamPushesLeft, upstreams, [&](const UpstreamId& aId) {
     if (const UpstreamEntry* entry = m_upstreams.Find(aId)) {
       aMessage.m_upstreams.push_back(entry->m_row);
     }
@@ -50,6 +73,10 @@
 
 void Membership::PushChanges()
 {
+  if (m_hostPushesLeft.empty() && m_upstreamPushesLeft.empty() &&
+      m_poisonPushesLeft.empty()) {
+    return;
+  }
   std::vector<HostId> targets = AliveHosts(true);
   std::shuffle(targets.begin(), targets.end(), m_random);
   if (targets.size() > static_cast<size_t>(m_options.m_localFanout)) {
@@ -80,7 +107,8 @@
     const UpstreamEntry* entry = m_upstreams.Find(id);
     if (entry != nullptr) {
       const UpstreamRow& row = entry->m_row;
-      renewals.push_back({ id, row.m_incarnation, row.m_sequence, row.m_load });
+      renewals.push_back(
+        { id, row.m_incarnation, row.m_sequence, row.m_state, row.m_load });
     }
   }
   m_pendingRenewals.clear();
--- a/lib/Membership/UpstreamTable.cpp
+++ b/lib/Membership/UpstreamTable.cpp
@@ -91,6 +91,10 @@
   }
   known.m_sequence = aRenewal.m_sequence;
   known.m_load = aRenewal.m_load;
+  if (aRenewal.m_state > known.m_state) {
+    known.m_state = aRenewal.m_state;
+    ++m_version;
+  }
   at->second.m_leaseEnd = aNow + m_lease;
   at->second.m_reportedAt = aNow;
   return true;
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -276,3 +276,54 @@
     CHECK(cluster.m_hosts[i]->Poison().contains(9));
   }
 }
+
+TEST_CASE("with 300 hosts, the reclaim of 20 upstreams and a poison report "
+          "reach every host in time, also past relays that are gone")
+{
+  constexpr size_t kHosts = 300;
+  constexpr size_t kUpstreams = 20;
+  constexpr size_t kFirstWithDisk = kHosts - 3;
+  TestCluster cluster(kHosts, 8);
+  // One host in each data centre has a disk, which makes it the relay.
+  for (size_t i = kFirstWithDisk; i < kHosts; ++i) {
+    cluster.m_hosts[i]->SetDisk(DiskId("disk-" + std::to_string(i)), "group");
+  }
+  cluster.RunFor(seconds(6));
+  auto announce = [&](uint64_t aSequence, UpstreamState aState) {
+    for (size_t i = 0; i < kUpstreams; ++i) {
+      UpstreamRow row = Upstream(aSequence, aState);
+      row.m_id = UpstreamId("engine-" + std::to_string(i));
+      row.m_endpoint.m_port = static_cast<uint16_t>(2000 + i);
+      cluster.m_hosts[0]->Announce(cluster.m_now, row);
+    }
+  };
+  // Number of rows in a state in the views of all live hosts.
+  auto rowsWith = [&](UpstreamState aState) {
+    size_t count = 0;
+    for (size_t i = 0; i < kHosts; ++i) {
+      for (const auto& [id, entry] : cluster.m_hosts[i]->Upstreams().Rows()) {
+        count += cluster.m_isUp[i] && entry.m_row.m_state == aState ? 1 : 0;
+      }
+    }
+    return count;
+  };
+  announce(1, UpstreamState::Serving);
+  cluster.RunFor(seconds(1));
+  CHECK(rowsWith(UpstreamState::Serving) == kHosts * kUpstreams);
+
+  // The hosts still count as alive, as in the first seconds after a crash.
+  for (size_t i = kFirstWithDisk; i < kHosts; ++i) {
+    cluster.m_isUp[i] = false;
+  }
+  announce(2, UpstreamState::Leaving);
+  PoisonRow poison;
+  poison.m_fingerprint = 9;
+  poison.m_deaths = { "engine" };
+  cluster.m_hosts[1]->ReportPoison(cluster.m_now, poison);
+  // Hosts must not use a leaving upstream for longer than 3 s.
+  cluster.RunFor(seconds(3));
+  CHECK(rowsWith(UpstreamState::Leaving) == kFirstWithDisk * kUpstreams);
+  for (size_t i = 0; i < kFirstWithDisk; ++i) {
+    CHECK(cluster.m_hosts[i]->Poison().contains(9));
+  }
+}
