[Daemon] Spread the catalog as differences and the ledger within a scope

Cause: every change of a ledger went to all 293 peers, every version of 1,840 routes went whole from the leader to every entry host, and idle hosts woke up 150 times a second.

Change: LedgerScope bounds the hosts that exchange ledgers to 90, a region or a data centre beyond; engines outside the scope are used only if none inside takes work. CatalogSpread: hosts with a disk encode the catalog as items and push the changed ones to the entry hosts of their data centre, joined and paced to a tenth of a 10 Mbit/s link; a digest proves the result; a host that is behind pulls from the nearest, then another source. RouteTable shares unchanged entries between versions. Full ledgers are sent at most each 100 ms a host. The gateway ticks each 10 ms only while requests are queued or migrate, membership of hosts without a disk each 100 ms. The leader no longer sends whole lists to entry hosts.

CatalogSpreadTest: six changes on 1,840 routes in force on 294 hosts within 3 s, under 4.2 KB for each change; faults of messages and sources. LedgerScopeTest, CatalogTest.

--- a/include/persimmontally/Catalog/Catalog.h
+++ b/include/persimmontally/Catalog/Catalog.h
@@ -32,6 +32,12 @@
   uint32_t m_weight = 1;
 
   bool operator==(const RouteTarget&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_service, m_weight);
+  }
 };
 
 /// Targets and service objectives of requests with one host name and path
@@ -59,6 +65,14 @@
   std::vector<RouteTarget> m_targets;
 
   bool operator==(const Route&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_name, m_hostName, m_pathPrefix, m_repeatability);
+    aArchive(m_timeout, m_latencyObjective, m_timeBetweenTokensObjective);
+    aArchive(m_priority, m_maxAttempts, m_isPublic, m_targets);
+  }
 };
 
 /// Properties that all engines of a service share.
@@ -79,6 +93,13 @@
   bool m_canBackUp = false;
 
   bool operator==(const EngineSpec&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_slots, m_kvMemoryTokens, m_bytesPerToken);
+    aArchive(m_linkMegabitsPerSecond, m_canMigrate, m_canBackUp);
+  }
 };
 
 /// A service that routes refer to by name.
@@ -91,6 +112,12 @@
   std::optional<EngineSpec> m_engine;
 
   bool operator==(const ServiceSpec&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_name, m_maxConnections, m_engine);
+  }
 };
 
 /// Limits on the requests and connections of callers.
@@ -102,6 +129,12 @@
   Duration m_idleTimeout = seconds(15);
 
   bool operator==(const CallerLimits&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_maxHeaderBytes, m_maxBodyBytes, m_headerTimeout, m_idleTimeout);
+  }
 };
 
 struct ClientAccount
@@ -112,6 +145,12 @@
   std::optional<int> m_priority;
 
   bool operator==(const ClientAccount&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(m_id, m_keys, m_priority);
+  }
 };
 
 /// One version of the operators' configuration of routed traffic.
--- /dev/null
+++ b/include/persimmontally/Catalog/CatalogItems.h
@@ -0,0 +1,33 @@
+#ifndef PERSIMMONTALLY_CATALOG_CATALOGITEMS_H
+#define PERSIMMONTALLY_CATALOG_CATALOGITEMS_H
+
+#include "persimmontally/Catalog/Catalog.h"
+#include "persimmontally/Wire/CatalogMessage.h"
+
+#include "absl/status/statusor.h"
+
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace persimmontally {
+
+/// Beginnings of the keys of items, by kind. Behind it, the key of a route has
+/// its host name, a space and its path prefix, that of a service its name.
+inline constexpr std::string_view kRouteItems = "route/";
+inline constexpr std::string_view kServiceItems = "service/";
+inline constexpr std::string_view kAccountItems = "account/";
+
+/// A catalog entry decoded from an item.
+using CatalogEntry =
+  std::variant<Route, ServiceSpec, ClientAccount, CallerLimits>;
+
+/// Encodes each entry of a valid catalog as an item of its own.
+std::vector<CatalogItem> EncodeItems(const Catalog& aCatalog);
+
+/// Decodes an item, or returns InvalidArgument if it is malformed.
+absl::StatusOr<CatalogEntry> DecodeItem(const CatalogItem& aItem);
+
+} // namespace persimmontally
+
+#endif
--- a/include/persimmontally/Catalog/RouteTable.h
+++ b/include/persimmontally/Catalog/RouteTable.h
@@ -2,6 +2,9 @@
 #define PERSIMMONTALLY_CATALOG_ROUTETABLE_H
 
 #include "persimmontally/Catalog/Catalog.h"
+#include "persimmontally/Wire/CatalogMessage.h"
+
+#include "absl/status/statusor.h"
 
 #include <memory>
 #include <string_view>
@@ -10,15 +13,22 @@
 namespace persimmontally {
 
 /// Index of one version of the catalog. Immutable: a request keeps the table
-/// with which it was admitted.
+/// with which it was admitted. Versions share the entries that did not change.
 class RouteTable
 {
 public:
-  explicit RouteTable(Catalog aCatalog);
+  RouteTable() = default;
+  explicit RouteTable(const Catalog& aCatalog);
+
+  /// Returns the table after an update: of this table, or of an empty one if
+  /// the update is a whole catalog. Returns InvalidArgument if an item cannot
+  /// be decoded.
+  absl::StatusOr<RouteTable> Updated(const CatalogUpdate& aUpdate) const;
 
-  uint64_t Version() const { return m_catalog.m_version; }
-  const Catalog& SourceCatalog() const { return m_catalog; }
-  const CallerLimits& Limits() const { return m_catalog.m_limits; }
+  uint64_t Version() const { return m_version; }
+  size_t RouteCount() const { return m_routes.size(); }
+  size_t AccountCount() const { return m_accounts.size(); }
+  const CallerLimits& Limits() const { return m_limits; }
   /// Returns the route of the host name with the longest prefix of the path, or
   /// null. The path must not contain a query.
   const Route* FindRoute(std::string_view aHostName,
@@ -26,7 +36,7 @@
   /// Returns the service with a name, or null.
   const ServiceSpec* FindService(std::string_view aName) const;
   /// Returns whether the catalog has accounts, so that callers need keys.
-  bool UsesKeys() const { return !m_catalog.m_accounts.empty(); }
+  bool UsesKeys() const { return !m_accounts.empty(); }
   /// Returns the account that a key belongs to, or null.
   const ClientAccount* FindAccount(std::string_view aKey) const;
   /// Picks a service of a route in proportion to the weights. `aUniformSample`
@@ -35,11 +45,25 @@
                                         double aUniformSample);
 
 private:
-  Catalog m_catalog;
+  absl::Status Apply(const CatalogItem& aItem);
+  void Remove(const std::string& aItemKey);
+  void Add(const std::string& aItemKey, Route aRoute);
+  void Add(const std::string& aItemKey, ServiceSpec aService);
+  void Add(const std::string& aItemKey, ClientAccount aAccount);
+  void Add(const std::string& aItemKey, const CallerLimits& aLimits);
+
+  uint64_t m_version = 0;
+  CallerLimits m_limits;
   /// Key: host name, a space and the path prefix.
-  std::unordered_map<std::string, const Route*> m_routes;
-  std::unordered_map<std::string, const ServiceSpec*> m_services;
-  std::unordered_map<std::string, const ClientAccount*> m_accounts;
+  std::unordered_map<std::string, std::shared_ptr<const Route>> m_routes;
+  std::unordered_map<std::string, std::shared_ptr<const ServiceSpec>>
+    m_services;
+  /// By the key of their item.
+  std::unordered_map<std::string, std::shared_ptr<const ClientAccount>>
+    m_accounts;
+  /// By the key of the caller.
+  std::unordered_map<std::string, std::shared_ptr<const ClientAccount>>
+    m_accountsByKey;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -82,6 +82,12 @@
     m_onLedger = std::move(aAction);
   }
 
+  /// Returns whether requests are queued, generations may have to migrate or
+  /// changes of the ledger are to be sent, which are handled by `Tick`.
+  bool IsBusy() const;
+  /// Sets the action that runs when the gateway becomes busy.
+  void OnBusy(std::function<void()> aAction) { m_onBusy = std::move(aAction); }
+
   // Used by `ForwardFlow`.
   EventLoop& Loop() { return m_loop; }
   Membership& Members() { return m_membership; }
@@ -130,10 +136,15 @@
   std::map<std::string, RetryBudget> m_retryBudgets;
   std::map<RequestId, std::shared_ptr<ForwardFlow>> m_flows;
   std::unique_ptr<MigrationSchedule> m_migrationSchedule;
+  /// Version of the upstream table that the schedule is based on.
+  uint64_t m_scheduledUpstreams = 0;
   std::string m_idPrefix;
   uint64_t m_nextId = 1;
   bool m_acceptsRequests = true;
   bool m_isKicked = false;
+  bool m_wasBusy = false;
+  bool m_hasFlowsOnLeavingUpstreams = false;
+  std::function<void()> m_onBusy;
   std::function<void(const LedgerUpdate&)> m_onLedger;
 };
 
--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -6,6 +6,7 @@
 #include "persimmontally/Admission/MemoryForecast.h"
 #include "persimmontally/Membership/UpstreamTable.h"
 #include "persimmontally/Routing/HealthTable.h"
+#include "persimmontally/Routing/LedgerScope.h"
 #include "persimmontally/Routing/PeerQueue.h"
 #include "persimmontally/Routing/PlacementPolicy.h"
 #include "persimmontally/Routing/PrefixIndex.h"
@@ -168,6 +169,9 @@
     m_options.m_slotShare = aOwn;
     m_options.m_remoteSlotShare = aRemote;
   }
+  /// Restricts the engines on which requests are placed. Services are not
+  /// restricted. If no engine of the scope takes work, all engines do.
+  void SetScope(const PlacementScope& aScope);
   void SetMemoryLimit(double aFraction) { m_options.m_memoryLimit = aFraction; }
   double MemoryLimit() const { return m_options.m_memoryLimit; }
   void SetPoisonSuspects(std::set<uint64_t> aSuspects)
@@ -175,6 +179,7 @@
     m_suspects = std::move(aSuspects);
   }
   size_t Queued(Rank aRank) const;
+  bool HasQueued() const { return !m_poolOf.empty(); }
   size_t RunningOn(const UpstreamId& aId) const;
   PrefixIndex& Prefixes() { return m_prefixes; }
   HealthTable& Health() { return m_health; }
@@ -321,6 +326,7 @@
   void Release(const RequestId& aId);
 
   DispatchOptions m_options;
+  PlacementScope m_scope;
   std::mt19937_64 m_random;
   std::map<PoolKey, Pool> m_pools;
   std::unordered_map<RequestId, PoolKey> m_poolOf;
--- a/include/persimmontally/Routing/LedgerDispatch.h
+++ b/include/persimmontally/Routing/LedgerDispatch.h
@@ -4,6 +4,7 @@
 #include "persimmontally/Routing/Dispatcher.h"
 #include "persimmontally/Wire/LedgerMessage.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,14 +28,24 @@
   /// Minimum interval between change messages, so that a burst of placements is
   /// sent as one message.
   static constexpr Duration kChangePeriod = milliseconds(5);
-  /// Interval at which each peer receives a snapshot of the whole ledger, which
-  /// repairs lost changes and carries the progress of generations. Changes are
-  /// a tenth of its size: on a link of 10 Mbit/s, snapshots to 81 hosts took 40
-  /// ms, during which occupied capacity still appeared free.
-  static constexpr Duration kRepeatPeriod = seconds(3);
+  /// Minimum interval at which each peer receives a snapshot of the whole
+  /// ledger, which repairs lost changes and carries the progress of
+  /// generations. Changes are a tenth of its size: on a link of 10 Mbit/s,
+  /// snapshots to 81 hosts took 40 ms, during which occupied capacity still
+  /// appeared free.
+  static constexpr Duration kMinRepeatPeriod = seconds(3);
+  /// Minimum interval between two snapshots, whichever their receivers, so that
+  /// their cost does not grow with the number of peers.
+  static constexpr Duration kSnapshotInterval = milliseconds(100);
   /// Silence after which the ledger of a peer is dropped; it allows for three
-  /// lost snapshots. The ledger of a peer known to be dead is dropped at once.
-  static constexpr Duration kForgetAfter = seconds(10);
+  /// lost snapshots with 90 peers. The ledger of a peer known to be dead is
+  /// dropped at once.
+  static constexpr Duration kForgetAfter = seconds(30);
+  /// Returns the interval at which each of `aPeers` receives a snapshot.
+  static Duration RepeatPeriod(int64_t aPeers)
+  {
+    return std::max<Duration>(kMinRepeatPeriod, kSnapshotInterval * aPeers);
+  }
 
   /// Fraction of an engine's memory left free per peer host, for placements
   /// whose updates have not arrived yet. With 75 to 88 hosts, a limit of 0.90
@@ -65,12 +76,19 @@
   void Receive(Instant aNow, const HostId& aFrom, const LedgerUpdate& aUpdate);
   /// Drops the ledger of a peer that has left or died.
   void ForgetHost(Instant aNow, const HostId& aHost);
+  /// Whether generations or service calls of this host are queued.
+  bool HasQueued() const { return m_local.HasQueued(); }
+  /// Whether the ledger may have changed since the last `TakeChange`.
+  bool HasPendingChange() const { return m_hasPendingChange; }
   /// Returns the change to send to all peers, if one is due.
   std::optional<LedgerUpdate> TakeChange(Instant aNow);
   /// Returns a snapshot of the published ledger, for a peer that may have
   /// missed changes.
   LedgerUpdate Snapshot(Instant aNow) const;
 
+  /// Returns a snapshot without rows, for a peer that gets no further updates.
+  LedgerUpdate EmptySnapshot() const;
+
   /// Returns the rows of all hosts on an engine, in the same order on each
   /// host.
   std::vector<LedgerRow> RowsOn(const UpstreamId& aUpstream) const;
--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -38,11 +38,14 @@
   /// Bytes of applied commands at which the log is compacted. Keeps the log far
   /// below the size of the smallest supported disk (128 MB).
   size_t m_compactAfterBytes = size_t(8) << 20;
+  /// Whether the leader sends the lists to hosts without a disk, and whether
+  /// this host pulls them. Not needed where another component spreads them.
+  bool m_pushesLists = true;
+  bool m_pullsLists = true;
   RaftOptions m_raft;
 };
 
-/// Local view of a host, including this one, as given to
-/// `StateService::Tick`.
+/// Local view of a host, including this one.
 struct StatePeer
 {
   HostId m_host;
@@ -52,7 +55,8 @@
   std::string m_group;
   uint64_t m_listsIndex = 0;
   bool m_isAlive = false;
-  Duration m_downFor{ 0 };
+  /// When the host was declared dead or departed; empty if it is alive.
+  std::optional<Instant> m_downSince;
 };
 
 /// Message to be sent to a peer host.
@@ -83,7 +87,9 @@
 
   /// Runs elections, heartbeats, voter repair, resends and list pulls that are
   /// due, and flushes.
-  void Tick(Instant aNow, const std::vector<StatePeer>& aPeers);
+  void Tick(Instant aNow);
+  /// Replaces the local view of the hosts.
+  void SetPeers(std::vector<StatePeer> aPeers) { m_peers = std::move(aPeers); }
   void Receive(Instant aNow, const RaftMessage& aMessage);
   void Receive(Instant aNow, const ProposeRequest& aMessage);
   void Receive(Instant aNow, const ProposeReply& aMessage);
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -7,8 +7,12 @@
 
 namespace persimmontally {
 
-/// Tick period of membership and the replicated state.
+/// Tick period of membership and the replicated state on a host with a disk,
+/// which may be a member of the Raft group.
 static constexpr Duration kControlPeriod = milliseconds(20);
+/// The same on a host without a disk. The shortest period of membership is 200
+/// ms, and received lists are put in force without waiting for a tick.
+static constexpr Duration kControlPeriodWithoutDisk = milliseconds(100);
 /// Delay between attempts to open the data folder again after a disk failure.
 static constexpr Duration kDiskRetryDelay = milliseconds(500);
 /// Bytes of the IPv4 and UDP headers of a datagram, which the metrics of
@@ -37,6 +41,16 @@
   return row;
 }
 
+static SpreadOptions MakeSpreadOptions(const Settings& aSettings)
+{
+  SpreadOptions options;
+  options.m_host = aSettings.m_host;
+  options.m_dataCentre = aSettings.m_dataCentre;
+  options.m_region = aSettings.m_region;
+  options.m_isSource = !aSettings.m_dataDir.empty();
+  return options;
+}
+
 static StateOptions MakeStateOptions(const Settings& aSettings)
 {
   StateOptions options;
@@ -45,6 +59,10 @@
   options.m_voters = static_cast<size_t>(aSettings.m_voters);
   options.m_replaceVoterAfter = aSettings.m_replaceVoterAfter;
   options.m_orderRetention = aSettings.m_orderRetention;
+  options.m_pushesLists = !IsRoutedHost(aSettings);
+  options.m_pullsLists = !IsRoutedHost(aSettings) ||
+                         !aSettings.m_dataDir.empty() ||
+                         aSettings.m_controlListen.m_port != 0;
   if (aSettings.m_foundGroup && !aSettings.m_dataDir.empty()) {
     options.m_bootstrapPeers = aSettings.m_seeds;
   }
@@ -62,6 +80,7 @@
                  m_settings.m_seeds,
                  aOptions,
                  RandomSeed())
+  , m_catalogSpread(MakeSpreadOptions(m_settings))
 {
 }
 
@@ -94,13 +113,14 @@
   if (!opened.ok()) {
     return opened;
   }
-  m_controlTimer = m_loop.RunEvery(kControlPeriod, [this] { ControlTick(); });
+  m_controlTimer = m_loop.RunEvery(
+    m_settings.m_dataDir.empty() ? kControlPeriodWithoutDisk : kControlPeriod,
+    [this] { ControlTick(); });
   return absl::OkStatus();
 }
 
 std::vector<StatePeer> HostCore::StatePeers() const
 {
-  Instant now = m_loop.Now();
   std::vector<StatePeer> peers;
   for (const auto& [id, row] : m_membership.Hosts()) {
     StatePeer peer;
@@ -111,8 +131,26 @@
     peer.m_group = row.m_group;
     peer.m_listsIndex = row.m_listsIndex;
     peer.m_isAlive = row.m_state <= HostState::Suspect;
-    auto downSince = m_membership.DownSince(id);
-    peer.m_downFor = downSince ? now - *downSince : Duration(0);
+    peer.m_downSince = m_membership.DownSince(id);
+    peers.push_back(std::move(peer));
+  }
+  return peers;
+}
+
+std::vector<SpreadPeer> HostCore::SpreadPeers() const
+{
+  std::vector<SpreadPeer> peers;
+  for (const auto& [id, row] : m_membership.Hosts()) {
+    if (id == m_settings.m_host || row.m_state > HostState::Suspect) {
+      continue;
+    }
+    SpreadPeer peer;
+    peer.m_host = id;
+    peer.m_dataCentre = row.m_dataCentre;
+    peer.m_region = row.m_region;
+    peer.m_peer = row.m_peer;
+    peer.m_isSource = !row.m_disk.Empty();
+    peer.m_index = row.m_listsIndex;
     peers.push_back(std::move(peer));
   }
   return peers;
@@ -150,7 +188,14 @@
   if (m_onControlTick) {
     m_onControlTick();
   }
-  m_state->Tick(now, StatePeers());
+  if (std::exchange(m_statePeersVersion, m_membership.HostsVersion()) !=
+      m_membership.HostsVersion()) {
+    m_state->SetPeers(StatePeers());
+    m_catalogSpread.SetPeers(SpreadPeers());
+  }
+  m_state->Tick(now);
+  m_catalogSpread.Tick(now);
+  FlushCatalog();
   m_membership.SetDisk(m_state->Disk(), m_state->Group());
   FlushState();
   FlushMembership();
@@ -160,6 +205,11 @@
 
 void HostCore::FlushMembership()
 {
+  uint64_t upstreams = m_membership.Upstreams().Version();
+  if (std::exchange(m_upstreamsVersion, upstreams) != upstreams &&
+      m_onUpstreamsChange) {
+    m_onUpstreamsChange();
+  }
   for (MembershipSend& send : m_membership.TakeSends()) {
     if (auto* tables = std::get_if<MembershipTables>(&send.m_message)) {
       Send(send.m_to, std::move(*tables));
@@ -185,6 +235,41 @@
   }
 }
 
+void HostCore::PublishCatalog(uint64_t aVersion,
+                              std::vector<CatalogItem> aItems)
+{
+  m_catalogSpread.Publish(m_loop.Now(),
+                          m_state->Group(),
+                          m_state->Plans().m_index,
+                          aVersion,
+                          std::move(aItems));
+  FlushCatalog();
+}
+
+void HostCore::FlushCatalog()
+{
+  for (const SpreadSend& send : m_catalogSpread.TakeSends()) {
+    Send(send.m_to, send.m_message);
+  }
+}
+
+void HostCore::ReceiveCatalog(const CatalogUpdate& aUpdate)
+{
+  uint64_t mismatches = m_catalogSpread.Mismatches();
+  if (m_catalogSpread.Receive(m_loop.Now(), aUpdate) && m_onCatalog) {
+    m_onCatalog(aUpdate);
+  }
+  if (m_catalogSpread.Mismatches() > mismatches) {
+    WriteLog(LogLevel::Warning,
+             "catalog_mismatch",
+             { { "base", aUpdate.m_baseIndex },
+               { "log_index", aUpdate.m_index },
+               { "version", aUpdate.m_version } });
+    m_metrics.Add("catalog_mismatches_total");
+  }
+  FlushCatalog();
+}
+
 void HostCore::FlushState()
 {
   if (std::exchange(m_isFlushPosted, true)) {
@@ -243,6 +328,15 @@
     FlushMembership();
     return;
   }
+  if (const auto* update = std::get_if<CatalogUpdate>(&*message)) {
+    ReceiveCatalog(*update);
+    return;
+  }
+  if (const auto* pull = std::get_if<CatalogPull>(&*message)) {
+    m_catalogSpread.Receive(now, *pull);
+    FlushCatalog();
+    return;
+  }
   std::visit(
     [&](const auto& aBody) {
       using Body = std::decay_t<decltype(aBody)>;
@@ -253,6 +347,9 @@
       if constexpr (kIsState) {
         m_state->Receive(now, aBody);
         FlushState();
+        if (m_onControlTick) {
+          m_onControlTick();
+        }
       } else if constexpr (!std::is_same_v<Body, MembershipTables>) {
         m_onMessage(sealed->m_from, *message);
       }
--- a/lib/Daemon/HostCore.h
+++ b/lib/Daemon/HostCore.h
@@ -5,6 +5,7 @@
 #include "persimmontally/Net/EventLoop.h"
 #include "persimmontally/Net/FrameLink.h"
 #include "persimmontally/Net/UdpSocket.h"
+#include "persimmontally/State/CatalogSpread.h"
 #include "persimmontally/State/StateService.h"
 #include "persimmontally/Support/Metrics.h"
 #include "persimmontally/Support/Settings.h"
@@ -30,7 +31,8 @@
   /// Opens the links to the peers and starts the control timer. `aHandler` is
   /// called for messages that neither membership nor the state handles.
   absl::Status Start(PeerHandler aHandler);
-  /// Sets the action that runs in each control tick, before the state's tick.
+  /// Sets the action that runs in each control tick, before the state's tick,
+  /// and after each message about the replicated state.
   void OnControlTick(std::function<void()> aAction)
   {
     m_onControlTick = std::move(aAction);
@@ -40,6 +42,19 @@
   {
     m_onHostChange = std::move(aAction);
   }
+  /// Sets the action that runs after a received update has changed the catalog
+  /// of a host without a disk.
+  void OnCatalog(std::function<void(const CatalogUpdate&)> aAction)
+  {
+    m_onCatalog = std::move(aAction);
+  }
+  /// Passes the catalog of the replicated log on to the hosts without a disk.
+  void PublishCatalog(uint64_t aVersion, std::vector<CatalogItem> aItems);
+  /// Sets the action that runs after the table of upstreams has changed.
+  void OnUpstreamsChange(std::function<void()> aAction)
+  {
+    m_onUpstreamsChange = std::move(aAction);
+  }
   void Send(const Endpoint& aTo, const PeerMessage& aMessage)
   {
     Send(std::vector<Endpoint>{ aTo }, aMessage);
@@ -63,6 +78,7 @@
   Metrics& Counters() { return m_metrics; }
   Membership& Members() { return m_membership; }
   StateService& State() { return *m_state; }
+  const CatalogSpread& Catalog() const { return m_catalogSpread; }
   const absl::Status& Failure() const { return m_failure; }
 
 private:
@@ -72,7 +88,10 @@
   void LogHostChange(const HostChange& aChange);
   void OnDatagram(std::string_view aData);
   void OnFrame(std::string_view aData);
+  void ReceiveCatalog(const CatalogUpdate& aUpdate);
+  void FlushCatalog();
   std::vector<StatePeer> StatePeers() const;
+  std::vector<SpreadPeer> SpreadPeers() const;
 
   EventLoop& m_loop;
   Settings m_settings;
@@ -80,10 +99,17 @@
   FrameLink m_link;
   Metrics m_metrics;
   Membership m_membership;
+  /// Version of the membership table that the state has received.
+  uint64_t m_statePeersVersion = 0;
+  CatalogSpread m_catalogSpread;
   std::unique_ptr<StateService> m_state;
   PeerHandler m_onMessage;
   std::function<void()> m_onControlTick;
   std::function<void(const HostChange&)> m_onHostChange;
+  std::function<void(const CatalogUpdate&)> m_onCatalog;
+  std::function<void()> m_onUpstreamsChange;
+  /// Version of the upstream table at the last call of `m_onUpstreamsChange`.
+  uint64_t m_upstreamsVersion = 0;
   Timer m_controlTimer;
   Timer m_reopenTimer;
   bool m_isDiskFailed = false;
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -3,19 +3,26 @@
 #include "HostCore.h"
 #include "RoutedStatus.h"
 
+#include "persimmontally/Catalog/CatalogItems.h"
 #include "persimmontally/Forwarding/ControlPlane.h"
 #include "persimmontally/Forwarding/ForwardGateway.h"
 #include "persimmontally/Net/HttpServer.h"
+#include "persimmontally/Routing/LedgerScope.h"
 #include "persimmontally/Support/Crypto.h"
 #include "persimmontally/Support/Log.h"
 
 namespace persimmontally {
 
-/// Tick period of the gateway in the absence of other events.
+/// Tick period of the gateway while requests are queued or migrate.
 static constexpr Duration kGatewayTickPeriod = milliseconds(10);
+/// The same while nothing depends on the tick: hundreds of hosts that wake up
+/// without work cost processor time.
+static constexpr Duration kIdleGatewayTickPeriod = milliseconds(100);
 /// Upstreams announce themselves about every 1.2 s, and sometimes seconds late.
 /// A crashed upstream is detected earlier, by its failed connections.
 static constexpr Duration kUpstreamLease = seconds(10);
+/// Period of the renewals of leases: three fit into one lease.
+static constexpr Duration kRenewalPeriod = milliseconds(2500);
 /// Maximum size of a catalog that operators may send.
 static constexpr size_t kMaxCatalogBytes = size_t(8) << 20;
 /// Allows operators to send a catalog over a slow link.
@@ -30,6 +37,7 @@
 {
   MembershipOptions options;
   options.m_upstreamLease = kUpstreamLease;
+  options.m_renewalPeriod = kRenewalPeriod;
   return options;
 }
 
@@ -91,6 +99,7 @@
     : m_loop(aLoop)
     , m_protocol(aProtocol)
     , m_core(aLoop, std::move(aSettings), MakeMembershipOptions())
+    , m_ledgerScope(m_core.Config().m_dataCentre, m_core.Config().m_region)
   {
   }
 
@@ -103,10 +112,15 @@
                       HttpServer::Handler aHandler);
   void HandleMonitoring(const HttpRequest& aRequest, const Writer& aWriter);
   void UpdateCatalog();
+  void ApplyCatalogUpdate(const CatalogUpdate& aUpdate);
+  static void LogUnreadableCatalog(uint64_t aVersion,
+                                   const absl::Status& aReason);
+  void SetRoutes(RouteTablePtr aRoutes);
   void HandleReadiness(const Writer& aWriter);
   bool IsReady();
   void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage);
-  std::vector<Endpoint> EntryPeers();
+  void ScheduleGatewayTick();
+  void UpdateLedgerPeers();
   void SendNextFullLedger();
   void OnHostChange(const HostChange& aChange);
   void BeginShutdown();
@@ -122,12 +136,19 @@
   std::unique_ptr<HttpServer> m_operatorServer;
   std::unique_ptr<HttpServer> m_metricsServer;
   uint64_t m_catalogVersion = 0;
+  RouteTablePtr m_routes;
   bool m_wasReady = false;
   bool m_isShuttingDown = false;
+  LedgerScope m_ledgerScope;
+  /// Version of the membership table that `m_ledgerPeers` is based on.
+  uint64_t m_ledgerPeersVersion = 0;
+  /// Peer endpoints of the other entry hosts in the ledger scope that are alive
+  /// or suspect.
+  std::map<HostId, Endpoint> m_ledgerPeers;
   /// When the full ledger is next sent to a peer.
   Instant m_nextFullLedgerAt;
-  /// Counts the full ledgers sent; selects the next peer in rotation.
-  size_t m_fullLedgersSent = 0;
+  /// Peer that received the last full ledger.
+  HostId m_lastFullLedgerTo;
   Timer m_gatewayTimer;
   Timer m_shutdownTimer;
 };
@@ -157,14 +178,17 @@
                                                MakeForwardOptions(settings),
                                                RandomSeed());
   m_gateway->OnLedger([this](const LedgerUpdate& aChange) {
-    m_core.Send(EntryPeers(), aChange);
+    std::vector<Endpoint> peers;
+    for (const auto& [id, endpoint] : m_ledgerPeers) {
+      peers.push_back(endpoint);
+    }
+    m_core.Send(peers, aChange);
   });
   m_core.OnHostChange(
     [this](const HostChange& aChange) { OnHostChange(aChange); });
-  m_gatewayTimer = m_loop.RunEvery(kGatewayTickPeriod, [this] {
-    m_gateway->Tick();
-    SendNextFullLedger();
-  });
+  m_gateway->OnBusy([this] { ScheduleGatewayTick(); });
+  m_core.OnUpstreamsChange([this] { m_gateway->Tick(); });
+  ScheduleGatewayTick();
   absl::Status opened =
     Listen(m_callerServer,
            settings.m_callersListen,
@@ -233,6 +257,8 @@
     return opened;
   }
   m_core.OnControlTick([this] { UpdateCatalog(); });
+  m_core.OnCatalog(
+    [this](const CatalogUpdate& aUpdate) { ApplyCatalogUpdate(aUpdate); });
   WriteLog(LogLevel::Info,
            "started",
            { { "callers", ToString(settings.m_callersListen) },
@@ -258,36 +284,63 @@
                           m_core.Counters().PrometheusText() });
 }
 
-/// Applies the newest stored catalog on this host, if it is newer than the one
-/// in force.
+/// Applies the newest catalog of the replicated log on a control host, and
+/// passes it on to the entry hosts.
 void RoutedHost::Impl::UpdateCatalog()
 {
   const ListVersion& newest = m_core.State().Plans().m_catalog;
-  if (newest.m_version <= m_catalogVersion) {
+  bool isSource = !m_core.Config().m_dataDir.empty();
+  if (!isSource || newest.m_version <= m_catalogVersion) {
     return;
   }
   m_catalogVersion = newest.m_version;
   m_core.Members().SetListsIndex(m_core.State().Plans().m_index);
   auto catalog = m_protocol.DecodeCatalog(newest.m_json);
   if (!catalog.ok()) {
-    WriteLog(LogLevel::Error,
-             "catalog_unreadable",
-             { { "version", newest.m_version },
-               { "reason", std::string(catalog.status().message()) } });
+    LogUnreadableCatalog(newest.m_version, catalog.status());
+    return;
+  }
+  SetRoutes(std::make_shared<const RouteTable>(*catalog));
+  m_core.PublishCatalog(newest.m_version, EncodeItems(*catalog));
+}
+
+/// Applies an update of the catalog on an entry host.
+void RoutedHost::Impl::ApplyCatalogUpdate(const CatalogUpdate& aUpdate)
+{
+  RouteTablePtr known =
+    m_routes ? m_routes : std::make_shared<const RouteTable>();
+  auto updated = known->Updated(aUpdate);
+  if (!updated.ok()) {
+    LogUnreadableCatalog(aUpdate.m_version, updated.status());
     return;
   }
-  auto routes = std::make_shared<const RouteTable>(*std::move(catalog));
+  m_catalogVersion = aUpdate.m_version;
+  SetRoutes(std::make_shared<const RouteTable>(*std::move(updated)));
+}
+
+void RoutedHost::Impl::LogUnreadableCatalog(uint64_t aVersion,
+                                            const absl::Status& aReason)
+{
+  WriteLog(
+    LogLevel::Error,
+    "catalog_unreadable",
+    { { "version", aVersion }, { "reason", std::string(aReason.message()) } });
+}
+
+void RoutedHost::Impl::SetRoutes(RouteTablePtr aRoutes)
+{
+  m_routes = std::move(aRoutes);
   WriteLog(LogLevel::Info,
            "catalog_in_force",
-           { { "version", routes->Version() },
-             { "routes", routes->SourceCatalog().m_routes.size() },
-             { "accounts", routes->SourceCatalog().m_accounts.size() } });
+           { { "version", m_routes->Version() },
+             { "routes", m_routes->RouteCount() },
+             { "accounts", m_routes->AccountCount() } });
   if (m_gateway) {
-    m_gateway->SetRoutes(routes);
-    m_callerServer->SetLimits(MakeCallerLimits(routes->Limits()));
+    m_gateway->SetRoutes(m_routes);
+    m_callerServer->SetLimits(MakeCallerLimits(m_routes->Limits()));
   }
   if (m_control) {
-    m_control->SetRoutes(routes);
+    m_control->SetRoutes(m_routes);
   }
 }
 
@@ -299,7 +352,7 @@
 {
   bool canServe = m_catalogVersion > 0 &&
                   !m_core.Members().Upstreams().Rows().empty() &&
-                  (m_wasReady || m_core.State().HasCurrentLists());
+                  (m_wasReady || m_core.Catalog().IsCurrent());
   return canServe && !m_isShuttingDown;
 }
 
@@ -328,49 +381,80 @@
   }
 }
 
-/// Returns the peer endpoints of the other entry hosts that are alive or
-/// suspect.
-std::vector<Endpoint> RoutedHost::Impl::EntryPeers()
+/// Sets the timer of the next tick by whether the gateway depends on it.
+void RoutedHost::Impl::ScheduleGatewayTick()
 {
-  std::vector<Endpoint> peers;
-  for (const auto& [id, row] : m_core.Members().Hosts()) {
+  Duration period =
+    m_gateway->IsBusy() ? kGatewayTickPeriod : kIdleGatewayTickPeriod;
+  m_gatewayTimer = m_loop.RunAfter(period, [this] {
+    UpdateLedgerPeers();
+    m_gateway->Tick();
+    SendNextFullLedger();
+    ScheduleGatewayTick();
+  });
+}
+
+/// Determines the hosts with which this one exchanges ledgers. A host that
+/// leaves the scope gets an empty ledger, one that enters it the full one.
+void RoutedHost::Impl::UpdateLedgerPeers()
+{
+  const Membership& members = m_core.Members();
+  if (std::exchange(m_ledgerPeersVersion, members.HostsVersion()) ==
+      members.HostsVersion()) {
+    return;
+  }
+  if (m_ledgerScope.Update(members.Hosts())) {
+    const PlacementScope& scope = m_ledgerScope.Current();
+    WriteLog(LogLevel::Info,
+             "ledger_scope",
+             { { "scope", ToString(scope.m_kind) },
+               { "hosts", members.Hosts().size() } });
+    m_gateway->Placement().Local().SetScope(scope);
+  }
+  std::map<HostId, Endpoint> peers;
+  for (const auto& [id, row] : members.Hosts()) {
     bool isOther = id != m_core.Config().m_host;
-    if (isOther && row.m_isEntry && row.m_state <= HostState::Suspect) {
-      peers.push_back(row.m_peer);
+    if (isOther && row.m_isEntry && row.m_state <= HostState::Suspect &&
+        m_ledgerScope.Current().Contains(row)) {
+      peers.emplace(id, row.m_peer);
+    }
+  }
+  for (const auto& [id, endpoint] : std::exchange(m_ledgerPeers, peers)) {
+    if (!peers.erase(id) && members.IsAlive(id)) {
+      m_core.Send(endpoint, m_gateway->Placement().EmptySnapshot());
+      m_gateway->ForgetHost(id);
     }
   }
-  return peers;
+  for (const auto& [id, endpoint] : peers) {
+    m_core.Send(endpoint, m_gateway->Placement().Snapshot(m_loop.Now()));
+  }
 }
 
 /// Sends the full ledger to one peer at a time, so that a narrow link never
 /// carries it to all peers at once.
 void RoutedHost::Impl::SendNextFullLedger()
 {
-  std::vector<Endpoint> peers = EntryPeers();
   Instant now = m_loop.Now();
-  if (peers.empty() || now < m_nextFullLedgerAt) {
+  if (m_ledgerPeers.empty() || now < m_nextFullLedgerAt) {
     return;
   }
-  auto count = static_cast<int64_t>(peers.size());
-  m_nextFullLedgerAt = std::max(m_nextFullLedgerAt, now - kGatewayTickPeriod) +
-                       LedgerDispatch::kRepeatPeriod / count;
-  m_core.Send(peers[m_fullLedgersSent++ % peers.size()],
-              m_gateway->Placement().Snapshot(now));
+  auto count = static_cast<int64_t>(m_ledgerPeers.size());
+  m_nextFullLedgerAt =
+    std::max(m_nextFullLedgerAt, now - kIdleGatewayTickPeriod) +
+    LedgerDispatch::RepeatPeriod(count) / count;
+  auto next = m_ledgerPeers.upper_bound(m_lastFullLedgerTo);
+  if (next == m_ledgerPeers.end()) {
+    next = m_ledgerPeers.begin();
+  }
+  m_lastFullLedgerTo = next->first;
+  m_core.Send(next->second, m_gateway->Placement().Snapshot(now));
 }
 
-/// Updates the ledger for a change of a host's membership state: drops the
-/// entries of a host that is gone, and sends the full ledger to an entry host
-/// that has become alive.
+/// Drops the ledger of a host that is gone.
 void RoutedHost::Impl::OnHostChange(const HostChange& aChange)
 {
-  const HostRow& row = aChange.m_row;
-  if (row.m_state > HostState::Suspect) {
-    m_gateway->ForgetHost(row.m_id);
-    return;
-  }
-  bool isNew = aChange.m_isNew || aChange.m_previousState > HostState::Suspect;
-  if (isNew && row.m_isEntry && row.m_id != m_core.Config().m_host) {
-    m_core.Send(row.m_peer, m_gateway->Placement().Snapshot(m_loop.Now()));
+  if (aChange.m_row.m_state > HostState::Suspect) {
+    m_gateway->ForgetHost(aChange.m_row.m_id);
   }
 }
 
--- a/lib/Daemon/RoutedStatus.cpp
+++ b/lib/Daemon/RoutedStatus.cpp
@@ -60,8 +60,8 @@
   status["leader"] = state.LeaderHost().Value();
   status["group"] = state.Group();
   status["disk_ok"] = state.Failure().ok();
-  status["catalog"] = state.Plans().m_catalog.m_version;
-  status["log_index"] = state.Plans().m_index;
+  status["catalog"] = aCore.Catalog().Version();
+  status["log_index"] = aCore.Catalog().Index();
   status["hosts"] = HostsJson(aCore.Members());
   status["upstreams"] =
     UpstreamsJson(aCore.Loop().Now(), aCore.Members().Upstreams(), aGateway);
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -215,6 +215,16 @@
 {
   ApplyActions(m_placement.Tick(m_loop.Now(), m_membership.Upstreams()));
   SendLedger();
+  bool wasBusy = std::exchange(m_wasBusy, IsBusy());
+  if (m_wasBusy && !wasBusy && m_onBusy) {
+    m_onBusy();
+  }
+}
+
+bool ForwardGateway::IsBusy() const
+{
+  return !m_earlyRequests.empty() || m_placement.HasQueued() ||
+         m_placement.HasPendingChange() || m_hasFlowsOnLeavingUpstreams;
 }
 
 void ForwardGateway::SendLedger()
@@ -238,7 +248,9 @@
                                    const LedgerUpdate& aUpdate)
 {
   m_placement.Receive(m_loop.Now(), aFrom, aUpdate);
-  SchedulePlacement();
+  if (m_placement.HasQueued()) {
+    SchedulePlacement();
+  }
 }
 
 void ForwardGateway::ForgetHost(const HostId& aHost)
@@ -251,17 +263,25 @@
 void ForwardGateway::StartDueMigrations()
 {
   Instant now = m_loop.Now();
-  std::set<UpstreamId> leavingUpstreams;
-  for (const auto& [id, entry] : m_membership.Upstreams().Rows()) {
-    if (entry.m_row.m_state != UpstreamState::Serving) {
-      leavingUpstreams.insert(id);
+  const UpstreamTable& upstreams = m_membership.Upstreams();
+  if (std::exchange(m_scheduledUpstreams, upstreams.Version()) !=
+      upstreams.Version()) {
+    std::set<UpstreamId> leavingUpstreams;
+    for (const auto& [id, entry] : upstreams.Rows()) {
+      if (entry.m_row.m_state != UpstreamState::Serving) {
+        leavingUpstreams.insert(id);
+      }
     }
+    m_migrationSchedule->Update(now, leavingUpstreams);
   }
-  m_migrationSchedule->Update(now, leavingUpstreams);
   std::vector<std::shared_ptr<ForwardFlow>> candidates;
+  m_hasFlowsOnLeavingUpstreams = false;
   for (const auto& [id, flow] : m_flows) {
-    if (m_migrationSchedule->IsLeaving(flow->Upstream()) &&
-        flow->CanMigrate()) {
+    if (!m_migrationSchedule->IsLeaving(flow->Upstream())) {
+      continue;
+    }
+    m_hasFlowsOnLeavingUpstreams = true;
+    if (flow->CanMigrate()) {
       candidates.push_back(flow);
     }
   }
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -533,7 +533,8 @@
                                const Ticket& aSample,
                                Pool& aPool)
 {
-  bool isFresh = aPool.m_tableVersion == aTable.Version() &&
+  bool isFresh = aPool.m_listedAt != Instant() &&
+                 aPool.m_tableVersion == aTable.Version() &&
                  aNow < aPool.m_listedAt + kListPeriod;
   if (isFresh) {
     return;
@@ -541,8 +542,7 @@
   aPool.m_tableVersion = aTable.Version();
   aPool.m_listedAt = aNow;
   aPool.m_upstreams.clear();
-  aPool.m_slots = 0;
-  std::vector<UpstreamId> peers;
+  std::vector<const UpstreamEntry*> outside;
   for (const auto& [id, entry] : aTable.Rows()) {
     const UpstreamRow& row = entry.m_row;
     bool serves = aSample.m_service.empty()
@@ -550,15 +550,33 @@
                                  row.m_models.end(),
                                  aSample.m_model) > 0
                     : row.m_service == aSample.m_service;
-    if (serves && UpstreamTable::TakesWork(aNow, entry)) {
-      aPool.m_upstreams.push_back(&entry);
-      aPool.m_slots += UsableSlots(aNow, entry);
-      peers.push_back(id);
+    if (!serves || !UpstreamTable::TakesWork(aNow, entry)) {
+      continue;
     }
+    bool isInScope =
+      row.m_kind == UpstreamKind::Service || m_scope.Contains(row);
+    (isInScope ? aPool.m_upstreams : outside).push_back(&entry);
+  }
+  if (aPool.m_upstreams.empty()) {
+    aPool.m_upstreams = std::move(outside);
+  }
+  aPool.m_slots = 0;
+  std::vector<UpstreamId> peers;
+  for (const UpstreamEntry* entry : aPool.m_upstreams) {
+    aPool.m_slots += UsableSlots(aNow, *entry);
+    peers.push_back(entry->m_row.m_id);
   }
   m_health.Review(aNow, peers);
 }
 
+void Dispatcher::SetScope(const PlacementScope& aScope)
+{
+  m_scope = aScope;
+  for (auto& [key, pool] : m_pools) {
+    pool.m_listedAt = Instant();
+  }
+}
+
 void Dispatcher::ServePool(Instant aNow,
                            const UpstreamTable& aTable,
                            Pool& aPool,
--- a/lib/Routing/LedgerDispatch.cpp
+++ b/lib/Routing/LedgerDispatch.cpp
@@ -195,6 +195,13 @@
   return update;
 }
 
+LedgerUpdate LedgerDispatch::EmptySnapshot() const
+{
+  LedgerUpdate update = EmptyUpdate();
+  update.m_isSnapshot = true;
+  return update;
+}
+
 RequestId LedgerDispatch::RemoteId(const HostId& aHost, const std::string& aKey)
 {
   return RequestId(aHost.Value() + "/" + aKey);
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -3,6 +3,7 @@
 #include "persimmontally/Support/Crypto.h"
 
 #include <algorithm>
+#include <set>
 
 namespace persimmontally {
 
@@ -149,9 +150,8 @@
 
 // Periodic work: repair of the group; storing, applying and compacting the log.
 
-void StateService::Tick(Instant aNow, const std::vector<StatePeer>& aPeers)
+void StateService::Tick(Instant aNow)
 {
-  m_peers = aPeers;
   TryBootstrap(aNow);
   if (m_raft) {
     RaftRole before = m_raft->Role();
@@ -187,7 +187,7 @@
                              peer.m_disk,
                              peer.m_group,
                              peer.m_isAlive,
-                             peer.m_downFor });
+                             aNow - peer.m_downSince.value_or(aNow) });
   }
   for (const GroupMember& member : view.m_config.m_members) {
     if (!member.m_votes && m_raft->HasCaughtUp(aNow, member.m_disk)) {
@@ -341,14 +341,19 @@
   }
 }
 
-/// Sends new lists to the live hosts without a disk, which are never members of
-/// the group, so that they need not wait until gossip reports the new index and
-/// then pull the lists.
+/// Sends new lists to the live hosts that are not members of the group, so that
+/// they need not wait until gossip reports the new index and then pull the
+/// lists.
 void StateService::PushLists()
 {
+  std::set<DiskId> members;
+  for (const GroupMember& member : m_raft->Config().m_members) {
+    members.insert(member.m_disk);
+  }
   for (const StatePeer& peer : m_peers) {
-    if (peer.m_isAlive && peer.m_disk.Empty() &&
-        peer.m_host != m_options.m_host) {
+    bool isReceiver = peer.m_disk.Empty() ? m_options.m_pushesLists
+                                          : !members.contains(peer.m_disk);
+    if (peer.m_isAlive && isReceiver && peer.m_host != m_options.m_host) {
       m_sends.push_back({ peer.m_peer, m_plans });
     }
   }
@@ -375,6 +380,9 @@
 
 void StateService::PullLists(Instant aNow)
 {
+  if (!m_options.m_pullsLists) {
+    return;
+  }
   const StatePeer* newest = nullptr;
   for (const StatePeer& peer : m_peers) {
     bool newer = newest == nullptr || peer.m_listsIndex > newest->m_listsIndex;
--- a/unittests/Catalog/CatalogTest.cpp
+++ b/unittests/Catalog/CatalogTest.cpp
@@ -1,10 +1,13 @@
 /// Tests of catalog validation and of look-ups in the route table.
 
+#include "persimmontally/Catalog/CatalogItems.h"
 #include "persimmontally/Catalog/RouteTable.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
+#include <set>
 
 using namespace persimmontally;
 
@@ -168,3 +171,77 @@
     CHECK(RouteTable::PickService(route, row.m_uniformSample) == row.m_service);
   }
 }
+
+TEST_CASE("a table updated by items finds what the table of the whole catalog "
+          "finds")
+{
+  Catalog before = MakeCatalog();
+  Catalog after = MakeCatalog();
+  after.m_version = 4;
+  after.m_limits.m_maxBodyBytes = 17;
+  after.m_routes[0].m_targets = { { "t", 1 } };
+  after.m_routes.erase(after.m_routes.begin() + 1);
+  after.m_routes.push_back(MakeRoute("c.example", "/"));
+  after.m_services.push_back({ "u", 10, EngineSpec() });
+  // A key passes from one account to another, and a third account is new.
+  after.m_accounts = { { AccountId("one"), { "k1" }, 1 },
+                       { AccountId("two"), { "k2" }, std::nullopt },
+                       { AccountId("two"), { "k4" }, std::nullopt } };
+  CatalogUpdate whole;
+  whole.m_version = before.m_version;
+  whole.m_changed = EncodeItems(before);
+  auto base = RouteTable().Updated(whole);
+  REQUIRE(base.ok());
+
+  CatalogUpdate difference;
+  difference.m_baseIndex = 1;
+  difference.m_version = after.m_version;
+  std::set<std::string> keys;
+  for (const CatalogItem& item : EncodeItems(after)) {
+    keys.insert(item.m_key);
+    if (std::count(whole.m_changed.begin(), whole.m_changed.end(), item) == 0) {
+      difference.m_changed.push_back(item);
+    }
+  }
+  for (const CatalogItem& item : whole.m_changed) {
+    if (!keys.contains(item.m_key)) {
+      difference.m_removed.push_back(item.m_key);
+    }
+  }
+  auto updated = base->Updated(difference);
+  REQUIRE(updated.ok());
+  RouteTable expected(after);
+  CHECK(updated->Version() == 4);
+  CHECK(updated->Limits() == expected.Limits());
+  CHECK(updated->RouteCount() == expected.RouteCount());
+  CHECK(updated->AccountCount() == expected.AccountCount());
+  auto same = [](const auto* aLeft, const auto* aRight) {
+    return (aLeft == nullptr) == (aRight == nullptr) &&
+           (aLeft == nullptr || *aLeft == *aRight);
+  };
+  for (const char* host : { "a.example", "b.example", "c.example" }) {
+    for (const char* path : { "/", "/x/", "/x/1", "/x/y/1", "/z" }) {
+      CHECK(
+        same(updated->FindRoute(host, path), expected.FindRoute(host, path)));
+    }
+  }
+  for (const char* key : { "k1", "k2", "k3", "k4" }) {
+    CHECK(same(updated->FindAccount(key), expected.FindAccount(key)));
+  }
+  for (const char* service : { "s", "t", "u", "v" }) {
+    CHECK(same(updated->FindService(service), expected.FindService(service)));
+  }
+  // Unchanged entries are shared, not copied.
+  CHECK(updated->FindRoute("b.example", "/x/") ==
+        base->FindRoute("b.example", "/x/"));
+  CHECK(base->FindRoute("a.example", "/x/1")->m_pathPrefix == "/x/");
+}
+
+TEST_CASE("a malformed item is rejected")
+{
+  std::string data = EncodeItems(MakeCatalog()).back().m_data;
+  for (size_t size = 0; size < data.size(); ++size) {
+    CHECK_FALSE(DecodeItem({ "item", data.substr(0, size) }).ok());
+  }
+  CHECK_FALSE(DecodeItem({ "item", data + "x" }).ok());
+}
--- a/unittests/State/CatalogStateTest.cpp
+++ b/unittests/State/CatalogStateTest.cpp
@@ -103,7 +103,8 @@
   Instant now(seconds(1));
   auto run = [&](Duration aLength) {
     for (Instant end = now + aLength; now < end; now += milliseconds(10)) {
-      service.Tick(now, { self });
+      service.SetPeers({ self });
+      service.Tick(now);
     }
   };
   auto put = [&](uint64_t aVersion) {
--- a/unittests/State/StateSimulation.cpp
+++ b/unittests/State/StateSimulation.cpp
@@ -136,7 +136,7 @@
     if (peer.m_isAlive) {
       peer.m_listsIndex = host.m_service->Plans().m_index;
     } else {
-      peer.m_downFor = m_now - host.m_downSince;
+      peer.m_downSince = host.m_downSince;
     }
     peers.push_back(std::move(peer));
   }
@@ -382,7 +382,8 @@
       }
       continue;
     }
-    Service(i).Tick(m_now, PeersOf(i));
+    Service(i).SetPeers(PeersOf(i));
+    Service(i).Tick(m_now);
     if (!Service(i).Failure().ok()) {
       Crash(i);
       m_hosts[i].m_restartAt = m_now + seconds(1);
