[Routing] Bound the saved retries of all hosts together

Found by reading.

Change: a host saves 60 retries divided by the number of live entry hosts, at least 1.5 and at most 10.

Measured: RoutingTest, 294 hosts together spend 441 at most (2,940 before).

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -74,6 +74,8 @@
   {
     return m_flows.size() + m_earlyRequests.size();
   }
+  /// Sets the number of live entry hosts, which share the limits on retries.
+  void SetEntryHosts(size_t aCount);
   void ReceiveLedger(const HostId& aFrom, const LedgerUpdate& aUpdate);
   void ForgetHost(const HostId& aHost);
   /// Sets the function that sends ledger updates to the peer hosts.
@@ -134,6 +136,7 @@
   RouteTablePtr m_routes;
   std::vector<EarlyRequest> m_earlyRequests;
   std::map<std::string, RetryBudget> m_retryBudgets;
+  size_t m_entryHosts = 1;
   std::map<RequestId, std::shared_ptr<ForwardFlow>> m_flows;
   std::unique_ptr<MigrationSchedule> m_migrationSchedule;
   /// Version of the upstream table that the schedule is based on.
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -412,13 +412,18 @@
     m_gateway->Placement().Local().SetScope(scope);
   }
   std::map<HostId, Endpoint> peers;
+  size_t entryHosts = 1;
   for (const auto& [id, row] : members.Hosts()) {
-    bool isOther = id != m_core.Config().m_host;
-    if (isOther && row.m_isEntry && row.m_state <= HostState::Suspect &&
-        m_ledgerScope.Current().Contains(row)) {
+    if (id == m_core.Config().m_host || !row.m_isEntry ||
+        row.m_state > HostState::Suspect) {
+      continue;
+    }
+    ++entryHosts;
+    if (m_ledgerScope.Current().Contains(row)) {
       peers.emplace(id, row.m_peer);
     }
   }
+  m_gateway->SetEntryHosts(entryHosts);
   for (const auto& [id, endpoint] : std::exchange(m_ledgerPeers, peers)) {
     if (!peers.erase(id) && members.IsAlive(id)) {
       m_core.Send(endpoint, m_gateway->Placement().EmptySnapshot());
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -45,7 +45,19 @@
 
 RetryBudget& ForwardGateway::RetryBudgetOf(const std::string& aService)
 {
-  return m_retryBudgets.try_emplace(aService, m_random()).first->second;
+  auto [at, isNew] = m_retryBudgets.try_emplace(aService, m_random());
+  if (isNew) {
+    at->second.SetHosts(m_entryHosts);
+  }
+  return at->second;
+}
+
+void ForwardGateway::SetEntryHosts(size_t aCount)
+{
+  m_entryHosts = aCount;
+  for (auto& [service, budget] : m_retryBudgets) {
+    budget.SetHosts(aCount);
+  }
 }
 
 // Arrival, routing and refusal of requests, and release of their flows.
--- a/lib/Routing/RetryBudget.cpp
+++ b/lib/Routing/RetryBudget.cpp
@@ -4,10 +4,17 @@
 
 namespace persimmontally {
 
+void RetryBudget::SetHosts(size_t aHosts)
+{
+  double share = kSavedRetriesOfFleet / static_cast<double>(aHosts);
+  m_maxSavedRetries = std::clamp(share, kMinSavedRetries, kMaxSavedRetries);
+  m_savedRetries = std::min(m_savedRetries, m_maxSavedRetries);
+}
+
 void RetryBudget::OnRequest()
 {
   m_savedRetries =
-    std::min(kMaxSavedRetries, m_savedRetries + kRetriesPerRequest);
+    std::min(m_maxSavedRetries, m_savedRetries + kRetriesPerRequest);
 }
 
 bool RetryBudget::TryTake()
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -243,3 +243,26 @@
   CHECK(retries <= 1000 + static_cast<int>(RetryBudget::kMaxSavedRetries));
   CHECK(retries >= 990);
 }
+
+TEST_CASE("the saved retries of a fleet are bounded")
+{
+  struct Row
+  {
+    size_t m_hosts;
+    int m_maxRetries;
+  };
+  for (const Row& row : std::vector<Row>{
+         { 1, 10 }, { 6, 60 }, { 88, 132 }, { 294, 441 }, { 1100, 1650 } }) {
+    CAPTURE(row.m_hosts);
+    int retries = 0;
+    for (size_t host = 0; host < row.m_hosts; ++host) {
+      RetryBudget budget(host);
+      budget.SetHosts(row.m_hosts);
+      while (budget.TryTake()) {
+        ++retries;
+      }
+    }
+    CHECK(retries <= row.m_maxRetries);
+    CHECK(retries >= static_cast<int>(row.m_hosts));
+  }
+}
