--- a/unittests/Forwarding/ForwardSite.cpp
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -112,6 +112,13 @@
   Announce(aId, aService, { "127.0.0.1", *port }, UpstreamState::Serving);
 }
 
+void ForwardSite::AddUpstreamAt(const std::string& aId,
+                                const std::string& aService,
+                                const Endpoint& aEndpoint)
+{
+  Announce(aId, aService, aEndpoint, UpstreamState::Serving);
+}
+
 void ForwardSite::AddDeadUpstream(const std::string& aId,
                                   const std::string& aService)
 {
--- a/unittests/Forwarding/ForwardSite.h
+++ b/unittests/Forwarding/ForwardSite.h
@@ -40,6 +40,10 @@
   void AddUpstream(const std::string& aId,
                    const std::string& aService,
                    Handler aHandler);
+  /// Announces an upstream that the test runs at an address.
+  void AddUpstreamAt(const std::string& aId,
+                     const std::string& aService,
+                     const Endpoint& aEndpoint);
   /// Announces an upstream whose port refuses connections.
   void AddDeadUpstream(const std::string& aId, const std::string& aService);
   void SetState(const std::string& aId, UpstreamState aState);
