[Forwarding] Tick at once when a generation has to leave its engine

Cause: since the gateway ticks each 100 ms without work, a notice of a reclaim ran the first migrations, but the timer stayed at up to 100 ms, so the next ones in the schedule (350 ms apart, retries after 40 ms) started late.

Change: the gateway also reports that it is busy after the migrations were looked at. ForwardTest's new case failed before (0 reports).

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -123,6 +123,8 @@
   void ApplyActions(const std::vector<DispatchAction>& aActions);
   void RunPlacement();
   void SendLedger();
+  /// Calls the action of `OnBusy` if the gateway has become busy.
+  void NotifyIfBusy();
   void StartDueMigrations();
 
   EventLoop& m_loop;
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -227,6 +227,11 @@
 {
   ApplyActions(m_placement.Tick(m_loop.Now(), m_membership.Upstreams()));
   SendLedger();
+  NotifyIfBusy();
+}
+
+void ForwardGateway::NotifyIfBusy()
+{
   bool wasBusy = std::exchange(m_wasBusy, IsBusy());
   if (m_wasBusy && !wasBusy && m_onBusy) {
     m_onBusy();
@@ -251,6 +256,7 @@
 {
   RunPlacement();
   StartDueMigrations();
+  NotifyIfBusy();
   RefuseEarlyRequests();
   m_connections.Tick();
   m_metrics.SetGauge("open_requests", static_cast<double>(m_flows.size()));
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -485,3 +485,20 @@
     CHECK(!call->m_status.ok());
   }
 }
+
+TEST_CASE("the gateway reports that it is busy once a generation has to leave "
+          "its engine")
+{
+  TwoEngines engines(false, [](FakeEngine&) {});
+  ForwardGateway& gateway = engines.m_site.Gateway();
+  FakeEngine& source = engines.First();
+  engines.m_site.RunUntil(
+    [&] { return source.m_eventsSent >= 5 && !gateway.IsBusy(); });
+  int reports = 0;
+  gateway.OnBusy([&] { ++reports; });
+  engines.m_site.SetState(source.m_id, UpstreamState::Leaving);
+  gateway.Tick();
+  CHECK(gateway.IsBusy());
+  CHECK(reports == 1);
+  engines.Finish();
+}
