--- a/include/persimmontally/Routing/LedgerScope.h
+++ b/include/persimmontally/Routing/LedgerScope.h
@@ -51,7 +51,7 @@
 {
 public:
   /// Maximum number of entry hosts in a scope that is wider than a data centre.
-  static constexpr size_t kMaxHosts = 110;
+  static constexpr size_t kMaxHosts = 90;
   /// A wider scope is taken once it has at most this fraction of `kMaxHosts`,
   /// so that single hosts that come and go do not change it back and forth.
   static constexpr double kWidenFraction = 0.8;
--- a/unittests/Forwarding/EndlessBytesTest.cpp
+++ b/unittests/Forwarding/EndlessBytesTest.cpp
@@ -139,7 +139,7 @@
   // Bytes that can wait in the sockets of the loopback interface.
   constexpr size_t kSocketBytes = size_t(8) << 20;
   constexpr size_t kMaxHeadBytes = size_t(64) << 10;
-  constexpr size_t kMaxBodyBytes = ForwardOptions().m_maxResponseBytes;
+  const size_t maxBodyBytes = ForwardOptions().m_maxResponseBytes;
   const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n";
   const std::string stamp = "Server-Stamp: s\r\n";
   const std::string letters(1000, 'x');
@@ -161,32 +161,32 @@
          { "a body until close",
            head + stamp + "\r\n",
            letters,
-           kMaxBodyBytes,
+           maxBodyBytes,
            502 },
          { "chunks",
            head + stamp + "Transfer-Encoding: chunked\r\n\r\n",
            "3e8\r\n" + letters + "\r\n",
-           kMaxBodyBytes,
+           maxBodyBytes,
            502 },
          { "a chunk size",
            head + stamp + "Transfer-Encoding: chunked\r\n\r\n",
            std::string(1000, '0'),
-           kMaxBodyBytes,
+           maxBodyBytes,
            0 },
          { "a chunk extension",
            head + stamp + "Transfer-Encoding: chunked\r\n\r\n1;",
            letters,
-           kMaxBodyBytes,
+           maxBodyBytes,
            0 },
          { "trailers",
            head + stamp + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
            "X: " + letters + "\r\n",
-           kMaxBodyBytes,
+           maxBodyBytes,
            0 },
          { "a second response",
            head + stamp + "Content-Length: 2\r\n\r\nok",
            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
-           kMaxBodyBytes,
+           maxBodyBytes,
            200 },
        }) {
     for (const char* path : { "/unsafe/", "/stream/" }) {
@@ -205,7 +205,7 @@
       site.RunUntil([&] { return upstream.IsClosed(); });
       CHECK(upstream.Requests() == 1);
       CHECK(upstream.SentBytes() < row.m_maxBytes + kSocketBytes);
-      CHECK(call->m_response.m_body.size() <= kMaxBodyBytes);
+      CHECK(call->m_response.m_body.size() <= maxBodyBytes);
       bool isComplete = call->m_status.ok() && call->m_response.m_status == 200;
       if (isStream) {
         CHECK((!isComplete || row.m_plainStatus == 200));
--- a/unittests/Net/FrameLinkTest.cpp
+++ b/unittests/Net/FrameLinkTest.cpp
@@ -34,8 +34,9 @@
     constexpr int kFillers = 3;
     for (int i = 0; i < kFillers; ++i) {
       int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      ::connect(
-        filler, reinterpret_cast<sockaddr*>(&m_address), sizeof m_address);
+      // Not waited for: the result does not matter.
+      static_cast<void>(::connect(
+        filler, reinterpret_cast<sockaddr*>(&m_address), sizeof m_address));
       m_sockets.push_back(filler);
     }
   }
