[Membership, Routing] Move urgent updates and lists of upstreams to files of their own

Change: functions moved as they were: urgent updates and relays to MembershipSends.cpp, the list of a pool's upstreams and its scope to DispatcherLoad.cpp. No line of a function changed.

--- a/lib/Membership/MembershipSends.cpp
+++ b/lib/Membership/MembershipSends.cpp
@@ -17,6 +17,9 @@
 static constexpr size_t kRenewalsPerMessage = 18;
 static constexpr size_t kPoisonPerMessage = 2;
 
+/// Number of peers up to which all receive an urgent update directly. In a
+/// larger fleet, those in other data centres receive it through a relay.
+static constexpr size_t kMaxDirectTargets = 128;
 /// Pushes of a changed row beyond the logarithm of the number of hosts: each
 /// further one divides the hosts that the row does not reach by about e.
 static constexpr int kExtraPushes = 4;
@@ -129,6 +132,90 @@
   }
 }
 
+// Urgent updates, sent without waiting for the next push.
+
+/// Sends a changed row ahead of the next push, since an upstream that is being
+/// reclaimed has less time left than the rounds of gossip take. Hosts that a
+/// relay does not forward it to get the row by gossip.
+void Membership::SendUpstreamUpdate(const UpstreamId& aId)
+{
+  MembershipTables update;
+  update.m_kind = TablesKind::Update;
+  update.m_upstreams.push_back(m_upstreams.Find(aId)->m_row);
+  std::vector<HostId> targets = AlivePeers();
+  if (targets.size() > kMaxDirectTargets) {
+    targets = AliveHosts(true);
+    MembershipTables relayed = update;
+    relayed.m_kind = TablesKind::RelayedUpdate;
+    for (const HostId& id : PickRelays()) {
+      m_sends.push_back({ m_hosts.at(id).m_peer, relayed });
+    }
+  }
+  for (const HostId& id : targets) {
+    m_sends.push_back({ m_hosts.at(id).m_peer, update });
+  }
+}
+
+void Membership::ForwardUpstreams(const std::vector<UpstreamRow>& aRows,
+                                  const HostId& aExcept)
+{
+  if (aRows.empty()) {
+    return;
+  }
+  MembershipTables update;
+  update.m_kind = TablesKind::Update;
+  update.m_upstreams = aRows;
+  for (const HostId& id : AliveHosts(true)) {
+    if (id != aExcept) {
+      m_sends.push_back({ m_hosts.at(id).m_peer, update });
+    }
+  }
+}
+
+std::vector<HostId> Membership::PickRelays()
+{
+  std::vector<HostId> relays;
+  for (auto& [dataCentre, hosts] : AliveRemotePeers()) {
+    std::vector<HostId> withDisk;
+    for (const HostId& id : hosts) {
+      const HostRow& row = m_hosts.at(id);
+      if (!row.m_disk.Empty() && row.m_state == HostState::Alive) {
+        withDisk.push_back(id);
+      }
+    }
+    relays.push_back(PickRandom(withDisk.empty() ? hosts : withDisk));
+  }
+  return relays;
+}
+
+void Membership::ReportPoison(Instant aNow, const PoisonRow& aRow)
+{
+  PoisonRow before = m_poison[aRow.m_fingerprint];
+  MergePoison(aNow, aRow);
+  const PoisonRow& after = m_poison[aRow.m_fingerprint];
+  if (after == before) {
+    return;
+  }
+  // A caller can repeat the request immediately through any host, so the row
+  // is sent without waiting for the next push.
+  GossipMessage message;
+  message.m_poison.push_back(after);
+  std::vector<HostId> targets = AlivePeers();
+  if (targets.size() > kMaxDirectTargets) {
+    targets = AliveHosts(true);
+    GossipMessage relayed = message;
+    relayed.m_kind = GossipKind::Relay;
+    for (const HostId& id : PickRelays()) {
+      SendGossip(m_hosts.at(id).m_peer, relayed);
+    }
+  }
+  for (const HostId& id : targets) {
+    SendGossip(m_hosts.at(id).m_peer, message);
+  }
+}
+
+// Queue of the messages to be sent.
+
 void Membership::SendGossip(const Endpoint& aTo, GossipMessage aMessage)
 {
   m_sends.push_back({ aTo, std::move(aMessage) });
--- a/lib/Routing/Dispatcher.cpp
+++ b/lib/Routing/Dispatcher.cpp
@@ -5,8 +5,6 @@
 
 namespace persimmontally {
 
-/// Interval at which a pool's list of upstreams is rebuilt.
-static constexpr Duration kListPeriod = milliseconds(100);
 static constexpr Duration kUrgentPeakHalfLife = seconds(10);
 /// Time constant of the exponentially decayed placement rate.
 static constexpr double kDrainTimeConstantSeconds = 10;
@@ -528,55 +526,6 @@
   }
 }
 
-void Dispatcher::ListUpstreams(Instant aNow,
-                               const UpstreamTable& aTable,
-                               const Ticket& aSample,
-                               Pool& aPool)
-{
-  bool isFresh = aPool.m_listedAt != Instant() &&
-                 aPool.m_tableVersion == aTable.Version() &&
-                 aNow < aPool.m_listedAt + kListPeriod;
-  if (isFresh) {
-    return;
-  }
-  aPool.m_tableVersion = aTable.Version();
-  aPool.m_listedAt = aNow;
-  aPool.m_upstreams.clear();
-  std::vector<const UpstreamEntry*> outside;
-  for (const auto& [id, entry] : aTable.Rows()) {
-    const UpstreamRow& row = entry.m_row;
-    bool serves = aSample.m_service.empty()
-                    ? std::count(row.m_models.begin(),
-                                 row.m_models.end(),
-                                 aSample.m_model) > 0
-                    : row.m_service == aSample.m_service;
-    if (!serves || !UpstreamTable::TakesWork(aNow, entry)) {
-      continue;
-    }
-    bool isInScope =
-      row.m_kind == UpstreamKind::Service || m_scope.Contains(row);
-    (isInScope ? aPool.m_upstreams : outside).push_back(&entry);
-  }
-  if (aPool.m_upstreams.empty()) {
-    aPool.m_upstreams = std::move(outside);
-  }
-  aPool.m_slots = 0;
-  std::vector<UpstreamId> peers;
-  for (const UpstreamEntry* entry : aPool.m_upstreams) {
-    aPool.m_slots += UsableSlots(aNow, *entry);
-    peers.push_back(entry->m_row.m_id);
-  }
-  m_health.Review(aNow, peers);
-}
-
-void Dispatcher::SetScope(const PlacementScope& aScope)
-{
-  m_scope = aScope;
-  for (auto& [key, pool] : m_pools) {
-    pool.m_listedAt = Instant();
-  }
-}
-
 void Dispatcher::ServePool(Instant aNow,
                            const UpstreamTable& aTable,
                            Pool& aPool,
--- a/lib/Routing/DispatcherLoad.cpp
+++ b/lib/Routing/DispatcherLoad.cpp
@@ -1,5 +1,5 @@
-// Slots and memory used by the requests on an upstream, and the checks whether
-// one more request fits.
+// The upstreams of a pool, the slots and memory used by the requests on each,
+// and the checks whether one more request fits.
 
 #include "persimmontally/Routing/Dispatcher.h"
 
@@ -7,6 +7,8 @@
 
 namespace persimmontally {
 
+/// Interval at which a pool's list of upstreams is rebuilt.
+static constexpr Duration kListPeriod = milliseconds(100);
 /// Interval at which an engine's forecast is recomputed; placements in between
 /// are added to it.
 static constexpr Duration kForecastPeriod = milliseconds(200);
@@ -19,6 +21,55 @@
 /// Headroom factor over the recent peak of urgent work.
 static constexpr double kUrgentPeakHeadroom = 1.25;
 
+void Dispatcher::ListUpstreams(Instant aNow,
+                               const UpstreamTable& aTable,
+                               const Ticket& aSample,
+                               Pool& aPool)
+{
+  bool isFresh = aPool.m_listedAt != Instant() &&
+                 aPool.m_tableVersion == aTable.Version() &&
+                 aNow < aPool.m_listedAt + kListPeriod;
+  if (isFresh) {
+    return;
+  }
+  aPool.m_tableVersion = aTable.Version();
+  aPool.m_listedAt = aNow;
+  aPool.m_upstreams.clear();
+  std::vector<const UpstreamEntry*> outside;
+  for (const auto& [id, entry] : aTable.Rows()) {
+    const UpstreamRow& row = entry.m_row;
+    bool serves = aSample.m_service.empty()
+                    ? std::count(row.m_models.begin(),
+                                 row.m_models.end(),
+                                 aSample.m_model) > 0
+                    : row.m_service == aSample.m_service;
+    if (!serves || !UpstreamTable::TakesWork(aNow, entry)) {
+      continue;
+    }
+    bool isInScope =
+      row.m_kind == UpstreamKind::Service || m_scope.Contains(row);
+    (isInScope ? aPool.m_upstreams : outside).push_back(&entry);
+  }
+  if (aPool.m_upstreams.empty()) {
+    aPool.m_upstreams = std::move(outside);
+  }
+  aPool.m_slots = 0;
+  std::vector<UpstreamId> peers;
+  for (const UpstreamEntry* entry : aPool.m_upstreams) {
+    aPool.m_slots += UsableSlots(aNow, *entry);
+    peers.push_back(entry->m_row.m_id);
+  }
+  m_health.Review(aNow, peers);
+}
+
+void Dispatcher::SetScope(const PlacementScope& aScope)
+{
+  m_scope = aScope;
+  for (auto& [key, pool] : m_pools) {
+    pool.m_listedAt = Instant();
+  }
+}
+
 double Dispatcher::PendingPrefillTokens(const UpstreamId& aId) const
 {
   auto load = m_upstreamLoads.find(aId);
