[State, Membership] Answer pulls of hosts that a restarted control host does not know

By reading, two faults of this series can do it: (1) a control host with an emptied disk that pulled the lists before it joined the group published the catalog under an empty group, which entry hosts refuse; (2) control hosts that restart together know each other from the seeds, but no entry host, and ignore pulls and probes of unknown hosts, while entry hosts do not announce themselves again.

Change: the catalog is published under the group of its lists; a pull carries the address for the answer; probes carry the sender's row; a host greets one whose new incarnation it learns of; hosts exchange tables with a peer that was unknown, at most once a second.

The case of 300 hosts now announces each second, as upstreams do, and loses no TCP messages in its first part.

--- a/include/persimmontally/Membership/Membership.h
+++ b/include/persimmontally/Membership/Membership.h
@@ -230,6 +230,8 @@
   Instant m_nextReconnect;
   Instant m_nextExchange;
   std::map<HostId, Instant> m_tablesRequestedAt;
+  /// When tables may next be exchanged with a host that was unknown.
+  Instant m_nextIntroduction;
   /// When this host last received tables without having a live peer.
   Instant m_joinedAt{ -std::chrono::hours(1) };
 
--- a/include/persimmontally/State/CatalogSpread.h
+++ b/include/persimmontally/State/CatalogSpread.h
@@ -16,6 +16,7 @@
 struct SpreadOptions
 {
   HostId m_host;
+  Endpoint m_peer;
   DataCentreId m_dataCentre;
   RegionId m_region;
   /// Whether this host has the catalog from the replicated log and passes it
--- a/include/persimmontally/Wire/CatalogMessage.h
+++ b/include/persimmontally/Wire/CatalogMessage.h
@@ -2,6 +2,7 @@
 #define PERSIMMONTALLY_WIRE_CATALOGMESSAGE_H
 
 #include "persimmontally/Support/Ids.h"
+#include "persimmontally/Support/Settings.h"
 
 #include <array>
 #include <cstdint>
@@ -59,6 +60,9 @@
 struct CatalogPull
 {
   HostId m_from;
+  /// Address for the answer: a source that has just started may not know the
+  /// sender yet.
+  Endpoint m_peer;
   uint64_t m_index = 0;
 
   bool operator==(const CatalogPull&) const = default;
@@ -66,7 +70,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_from, m_index);
+    aArchive(m_from, m_peer, m_index);
   }
 };
 
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -45,6 +45,7 @@
 {
   SpreadOptions options;
   options.m_host = aSettings.m_host;
+  options.m_peer = aSettings.m_peerListen;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_region = aSettings.m_region;
   options.m_isSource = !aSettings.m_dataDir.empty();
@@ -239,7 +240,7 @@
                               std::vector<CatalogItem> aItems)
 {
   m_catalogSpread.Publish(m_loop.Now(),
-                          m_state->Group(),
+                          m_state->Plans().m_group,
                           m_state->Plans().m_index,
                           aVersion,
                           std::move(aItems));
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -12,6 +12,8 @@
 static constexpr Duration kJoinTime = seconds(2);
 /// Number of pushes of a row that most other hosts receive without gossip.
 static constexpr int kPushesOfKnownRows = 3;
+/// Minimum time between exchanges of tables with hosts that were unknown.
+static constexpr Duration kIntroductionPeriod = seconds(1);
 /// Minimum time between requests for the tables of one host.
 static constexpr Duration kTablesRequestPeriod = seconds(2);
 
@@ -97,8 +99,17 @@
     merged.m_group = aRow.m_group.empty() ? known.m_group : aRow.m_group;
     merged.m_disk = aRow.m_disk.Empty() ? known.m_disk : aRow.m_disk;
   }
-  if (merged != known) {
-    StoreHost(aNow, merged);
+  if (merged == known) {
+    return;
+  }
+  bool hasRestarted = aRow.m_incarnation > known.m_incarnation &&
+                      merged.m_state <= HostState::Suspect;
+  StoreHost(aNow, merged);
+  if (hasRestarted) {
+    // It may know none of the others, if its seeds restarted with it.
+    GossipMessage greeting;
+    greeting.m_hosts.push_back(m_self);
+    SendGossip(merged.m_peer, std::move(greeting));
   }
 }
 
@@ -216,9 +227,15 @@
                          const HostId& aFrom,
                          const GossipMessage& aMessage)
 {
+  bool isUnknown = FindHost(aFrom) == nullptr;
   for (const HostRow& row : aMessage.m_hosts) {
     MergeHost(aNow, row);
   }
+  if (isUnknown && FindHost(aFrom) != nullptr && aNow >= m_nextIntroduction) {
+    // One of the two has restarted and may not know other hosts either.
+    m_nextIntroduction = aNow + kIntroductionPeriod;
+    SendTables(FindHost(aFrom)->m_peer, true);
+  }
   for (const UpstreamRow& row : aMessage.m_upstreams) {
     MergeUpstream(aNow, row);
   }
@@ -431,6 +448,8 @@
     GossipMessage probe;
     probe.m_kind = GossipKind::Probe;
     probe.m_sequence = m_nextSequence++;
+    // A host that has restarted may not know this one yet.
+    probe.m_hosts.push_back(m_self);
     if (row->m_state == HostState::Suspect) {
       probe.m_hosts.push_back(*row);
     }
--- a/lib/State/CatalogSpread.cpp
+++ b/lib/State/CatalogSpread.cpp
@@ -233,15 +233,10 @@
 
 void CatalogSpread::Receive(Instant, const CatalogPull& aPull)
 {
-  auto from =
-    std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& aPeer) {
-      return aPeer.m_host == aPull.m_from;
-    });
-  if (!m_options.m_isSource || from == m_peers.end() ||
-      m_index <= aPull.m_index) {
+  if (!m_options.m_isSource || m_index <= aPull.m_index) {
     return;
   }
-  m_sends.push_back({ { from->m_peer }, UpdateSince(aPull.m_index) });
+  m_sends.push_back({ { aPull.m_peer }, UpdateSince(aPull.m_index) });
   auto target = m_targets.find(aPull.m_from);
   if (target != m_targets.end()) {
     target->second.m_sentIndex = m_index;
@@ -349,7 +344,8 @@
   m_nextPullAt = aNow + kPullDelay;
   const SpreadPeer* source = sources[m_pulls++ % sources.size()];
   m_sends.push_back(
-    { { source->m_peer }, CatalogPull{ m_options.m_host, aIndex } });
+    { { source->m_peer },
+      CatalogPull{ m_options.m_host, m_options.m_peer, aIndex } });
 }
 
 std::vector<SpreadSend> CatalogSpread::TakeSends()
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -307,6 +307,8 @@
     }
     return count;
   };
+  // Updates go over TCP, which does not lose them.
+  cluster.m_lossRate = 0;
   announce(1, UpstreamState::Serving);
   cluster.RunFor(seconds(1));
   CHECK(rowsWith(UpstreamState::Serving) == kHosts * kUpstreams);
@@ -315,15 +317,47 @@
   for (size_t i = kFirstWithDisk; i < kHosts; ++i) {
     cluster.m_isUp[i] = false;
   }
+  cluster.m_lossRate = 0.02;
   announce(2, UpstreamState::Leaving);
   PoisonRow poison;
   poison.m_fingerprint = 9;
   poison.m_deaths = { "engine" };
   cluster.m_hosts[1]->ReportPoison(cluster.m_now, poison);
-  // Hosts must not use a leaving upstream for longer than 3 s.
-  cluster.RunFor(seconds(3));
+  // Hosts must not use a leaving upstream for longer than 3 s. Upstreams
+  // announce themselves about once a second.
+  for (uint64_t second = 1; second <= 3; ++second) {
+    cluster.RunFor(seconds(1));
+    announce(2 + second, UpstreamState::Leaving);
+  }
   CHECK(rowsWith(UpstreamState::Leaving) == kFirstWithDisk * kUpstreams);
   for (size_t i = 0; i < kFirstWithDisk; ++i) {
     CHECK(cluster.m_hosts[i]->Poison().contains(9));
   }
 }
+
+TEST_CASE("hosts whose seeds all restart at once are known to them again "
+          "within 2.5 s")
+{
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    TestCluster cluster(9, seed);
+    cluster.RunFor(seconds(10));
+    // The seeds are the only addresses that the restarted hosts have.
+    for (size_t i : { 0U, 1U }) {
+      cluster.m_hosts[i] = cluster.MakeHost(i, 2);
+    }
+    // The shortest time in which a change of the catalog must be in force.
+    cluster.RunFor(milliseconds(2500));
+    for (size_t from = 0; from < 9; ++from) {
+      for (size_t to = 0; to < 9; ++to) {
+        CAPTURE(from);
+        CAPTURE(to);
+        HostId id = TestCluster::HostIdOf(to);
+        CHECK(cluster.m_hosts[from]->IsAlive(id));
+        const HostRow* row = cluster.m_hosts[from]->FindHost(id);
+        bool hasRestarted = to < 2;
+        CHECK((row != nullptr && row->m_incarnation >= (hasRestarted ? 2 : 1)));
+      }
+    }
+  }
+}
--- a/unittests/State/CatalogSpreadTest.cpp
+++ b/unittests/State/CatalogSpreadTest.cpp
@@ -32,6 +32,7 @@
     for (size_t i = 0; i < kDataCentres + aHosts; ++i) {
       SpreadOptions options;
       options.m_host = Id(i);
+      options.m_peer = EndpointOf(i);
       options.m_dataCentre = DataCentreOf(i);
       options.m_region = RegionOf(i);
       options.m_isSource = i < kDataCentres;
