--- a/unittests/State/CatalogSpreadTest.cpp
+++ b/unittests/State/CatalogSpreadTest.cpp
@@ -349,3 +349,23 @@
     CHECK(host.Version() == 3);
   }
 }
+
+TEST_CASE("a source answers the pull of a host that it does not know")
+{
+  SpreadOptions options;
+  options.m_host = HostId("source");
+  options.m_isSource = true;
+  CatalogSpread source(options);
+  Instant now(seconds(1));
+  source.Publish(now, "group", 7, 3, { { "route/1", "data" } });
+  Endpoint peer{ "127.0.0.1", 1001 };
+  source.Receive(now, CatalogPull{ HostId("unknown"), peer, 5 });
+  auto sends = source.TakeSends();
+  REQUIRE(sends.size() == 1);
+  CHECK(sends[0].m_to == std::vector<Endpoint>{ peer });
+  const auto* update = std::get_if<CatalogUpdate>(&sends[0].m_message);
+  REQUIRE(update != nullptr);
+  CHECK(update->m_baseIndex == 0);
+  CHECK(update->m_index == 7);
+  CHECK(update->m_changed.size() == 1);
+}
