--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -106,7 +106,7 @@
                       merged.m_state <= HostState::Suspect;
   StoreHost(aNow, merged);
   if (hasRestarted) {
-    // It may know none of the others, if its seeds restarted with it.
+    // Its table may lack all other hosts, if its seeds restarted with it.
     GossipMessage greeting;
     greeting.m_hosts.push_back(m_self);
     SendGossip(merged.m_peer, std::move(greeting));
@@ -232,7 +232,7 @@
     MergeHost(aNow, row);
   }
   if (isUnknown && FindHost(aFrom) != nullptr && aNow >= m_nextIntroduction) {
-    // One of the two has restarted and may not know other hosts either.
+    // One of the two has restarted, and its table may lack other hosts too.
     m_nextIntroduction = aNow + kIntroductionPeriod;
     SendTables(FindHost(aFrom)->m_peer, true);
   }
@@ -448,7 +448,7 @@
     GossipMessage probe;
     probe.m_kind = GossipKind::Probe;
     probe.m_sequence = m_nextSequence++;
-    // A host that has restarted may not know this one yet.
+    // The table of a host that has restarted may lack this one.
     probe.m_hosts.push_back(m_self);
     if (row->m_state == HostState::Suspect) {
       probe.m_hosts.push_back(*row);
