[Forwarding] Send endless bodies fast enough for the test to reach the limit

Trace in the test's log: 'no response before the deadline'. The test's upstream wrote 16 pieces of 1 KB in a tick of 1 ms, so 16 MiB took a second at best, and on a loaded machine the route's timeout of 1.5 s came before the limit on bodies. Both endings are right; the test meant the limit.

Change: pieces of 64 KiB, so that the limit is reached long before the timeout. The checks are the same.

--- a/unittests/Forwarding/EndlessBytesTest.cpp
+++ b/unittests/Forwarding/EndlessBytesTest.cpp
@@ -143,6 +143,8 @@
   const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n";
   const std::string stamp = "Server-Stamp: s\r\n";
   const std::string letters(1000, 'x');
+  // Reaches the limit on bodies long before the timeout of the route.
+  const std::string manyLetters(0x10000, 'x');
   struct Row
   {
     std::string m_name;
@@ -160,12 +162,12 @@
          { "headers", head, "X: " + letters + "\r\n", kMaxHeadBytes, 502 },
          { "a body until close",
            head + stamp + "\r\n",
-           letters,
+           manyLetters,
            maxBodyBytes,
            502 },
          { "chunks",
            head + stamp + "Transfer-Encoding: chunked\r\n\r\n",
-           "3e8\r\n" + letters + "\r\n",
+           "10000\r\n" + manyLetters + "\r\n",
            maxBodyBytes,
            502 },
          { "a chunk size",
