--- a/include/persimmontally/Wire/CatalogMessage.h
+++ b/include/persimmontally/Wire/CatalogMessage.h
@@ -60,8 +60,8 @@
 struct CatalogPull
 {
   HostId m_from;
-  /// Address for the answer: a source that has just started may not know the
-  /// sender yet.
+  /// Address for the answer, since the sender may be missing in the table of a
+  /// source that has just started.
   Endpoint m_peer;
   uint64_t m_index = 0;
 
