[Daemon] Log a catalog that stays behind, and count pulls and refused updates

Change: catalog_behind and catalog_caught_up, with the own and the newest log index; catalog_refused for another group; gauges of pulls sent, pulls of unknown hosts and updates of other groups.

--- a/include/persimmontally/State/CatalogSpread.h
+++ b/include/persimmontally/State/CatalogSpread.h
@@ -48,6 +48,20 @@
   PeerMessage m_message;
 };
 
+/// Numbers of messages since the start of this host.
+struct SpreadCounters
+{
+  uint64_t m_pullsSent = 0;
+  /// Pulls from hosts that were not among the local view's live hosts.
+  uint64_t m_unknownPulls = 0;
+  /// Updates of another group.
+  uint64_t m_foreignUpdates = 0;
+  /// Updates whose digest did not match.
+  uint64_t m_mismatches = 0;
+
+  bool operator==(const SpreadCounters&) const = default;
+};
+
 /// Spreads the catalog from the hosts that have it from the replicated log
 /// (sources) to all others, as the changed items only. Each host is served by
 /// one source, in its own data centre if there is one, so that the log and one
@@ -92,8 +106,12 @@
   /// Returns whether the catalog is at least as new as that of every live
   /// source; without live sources, whether there is a catalog at all.
   bool IsCurrent() const;
-  /// Number of updates whose digest did not match.
-  uint64_t Mismatches() const { return m_mismatches; }
+  /// Returns since when this host has known of a newer catalog without getting
+  /// it; empty if it knows of none.
+  std::optional<Instant> BehindSince() const { return m_behindSince; }
+  /// Returns the newest log index of the live sources.
+  uint64_t NewestIndex() const;
+  const SpreadCounters& Counters() const { return m_counters; }
 
 private:
   /// Keys that changed between two indexes.
@@ -135,7 +153,7 @@
   /// Whether the items differ from every source's catalog, after an update
   /// whose digest did not match.
   bool m_needsWhole = false;
-  uint64_t m_mismatches = 0;
+  SpreadCounters m_counters;
   std::vector<SpreadSend> m_sends;
 };
 
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -15,6 +15,9 @@
 static constexpr Duration kControlPeriodWithoutDisk = milliseconds(100);
 /// Delay between attempts to open the data folder again after a disk failure.
 static constexpr Duration kDiskRetryDelay = milliseconds(500);
+/// Time without a newer catalog that is known to exist after which that is
+/// logged; pulls are repeated each 200 ms.
+static constexpr Duration kCatalogBehindTime = seconds(1);
 /// Bytes of the IPv4 and UDP headers of a datagram, which the metrics of
 /// control traffic include.
 static constexpr uint64_t kDatagramOverheadBytes = 28;
@@ -196,11 +199,18 @@
   }
   m_state->Tick(now);
   m_catalogSpread.Tick(now);
+  CheckCatalogAge(now);
   FlushCatalog();
   m_membership.SetDisk(m_state->Disk(), m_state->Group());
   FlushState();
   FlushMembership();
   m_metrics.SetGauge("lost_log_lines", static_cast<double>(LostLogLines()));
+  const SpreadCounters& spread = m_catalogSpread.Counters();
+  m_metrics.SetGauge("catalog_pulls", static_cast<double>(spread.m_pullsSent));
+  m_metrics.SetGauge("catalog_pulls_of_unknown_hosts",
+                     static_cast<double>(spread.m_unknownPulls));
+  m_metrics.SetGauge("catalog_updates_of_other_groups",
+                     static_cast<double>(spread.m_foreignUpdates));
   m_metrics.SetGauge("log_syncs", static_cast<double>(m_state->SyncCount()));
 }
 
@@ -256,11 +266,12 @@
 
 void HostCore::ReceiveCatalog(const CatalogUpdate& aUpdate)
 {
-  uint64_t mismatches = m_catalogSpread.Mismatches();
+  SpreadCounters before = m_catalogSpread.Counters();
   if (m_catalogSpread.Receive(m_loop.Now(), aUpdate) && m_onCatalog) {
     m_onCatalog(aUpdate);
   }
-  if (m_catalogSpread.Mismatches() > mismatches) {
+  const SpreadCounters& after = m_catalogSpread.Counters();
+  if (after.m_mismatches > before.m_mismatches) {
     WriteLog(LogLevel::Warning,
              "catalog_mismatch",
              { { "base", aUpdate.m_baseIndex },
@@ -268,9 +279,32 @@
                { "version", aUpdate.m_version } });
     m_metrics.Add("catalog_mismatches_total");
   }
+  if (after.m_foreignUpdates > before.m_foreignUpdates) {
+    WriteLog(LogLevel::Warning,
+             "catalog_refused",
+             { { "group", aUpdate.m_group },
+               { "log_index", aUpdate.m_index },
+               { "version", aUpdate.m_version } });
+  }
   FlushCatalog();
 }
 
+/// Logs once that this host has known for `kCatalogBehindTime` of a newer
+/// catalog that it does not get.
+void HostCore::CheckCatalogAge(Instant aNow)
+{
+  auto since = m_catalogSpread.BehindSince();
+  bool isBehind = since && aNow >= *since + kCatalogBehindTime;
+  if (isBehind == std::exchange(m_isCatalogBehind, isBehind)) {
+    return;
+  }
+  WriteLog(isBehind ? LogLevel::Warning : LogLevel::Info,
+           isBehind ? "catalog_behind" : "catalog_caught_up",
+           { { "log_index", m_catalogSpread.Index() },
+             { "newest", m_catalogSpread.NewestIndex() },
+             { "pulls", m_catalogSpread.Counters().m_pullsSent } });
+}
+
 void HostCore::FlushState()
 {
   if (std::exchange(m_isFlushPosted, true)) {
--- a/lib/Daemon/HostCore.h
+++ b/lib/Daemon/HostCore.h
@@ -90,6 +90,7 @@
   void OnFrame(std::string_view aData);
   void ReceiveCatalog(const CatalogUpdate& aUpdate);
   void FlushCatalog();
+  void CheckCatalogAge(Instant aNow);
   std::vector<StatePeer> StatePeers() const;
   std::vector<SpreadPeer> SpreadPeers() const;
 
@@ -102,6 +103,7 @@
   /// Version of the membership table that the state has received.
   uint64_t m_statePeersVersion = 0;
   CatalogSpread m_catalogSpread;
+  bool m_isCatalogBehind = false;
   std::unique_ptr<StateService> m_state;
   PeerHandler m_onMessage;
   std::function<void()> m_onControlTick;
--- a/lib/State/CatalogSpread.cpp
+++ b/lib/State/CatalogSpread.cpp
@@ -236,6 +236,11 @@
   if (!m_options.m_isSource || m_index <= aPull.m_index) {
     return;
   }
+  bool isKnown =
+    std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& aPeer) {
+      return aPeer.m_host == aPull.m_from;
+    });
+  m_counters.m_unknownPulls += isKnown ? 0 : 1;
   m_sends.push_back({ { aPull.m_peer }, UpdateSince(aPull.m_index) });
   auto target = m_targets.find(aPull.m_from);
   if (target != m_targets.end()) {
@@ -248,6 +253,7 @@
 bool CatalogSpread::Receive(Instant aNow, const CatalogUpdate& aUpdate)
 {
   bool isSameGroup = m_group.empty() || m_group == aUpdate.m_group;
+  m_counters.m_foreignUpdates += isSameGroup ? 0 : 1;
   if (m_options.m_isSource || !isSameGroup || aUpdate.m_index <= m_index) {
     return false;
   }
@@ -268,7 +274,7 @@
     ChangeItem(m_items, m_digest, key, nullptr);
   }
   if (m_digest != aUpdate.m_digest) {
-    ++m_mismatches;
+    ++m_counters.m_mismatches;
     m_needsWhole = true;
     SendPull(aNow, 0);
     return false;
@@ -294,6 +300,12 @@
   return newest;
 }
 
+uint64_t CatalogSpread::NewestIndex() const
+{
+  const SpreadPeer* newest = NewestSource();
+  return newest == nullptr ? 0 : newest->m_index;
+}
+
 bool CatalogSpread::IsCurrent() const
 {
   const SpreadPeer* newest = NewestSource();
@@ -342,6 +354,7 @@
       return distance(aLeft) < distance(aRight);
     });
   m_nextPullAt = aNow + kPullDelay;
+  ++m_counters.m_pullsSent;
   const SpreadPeer* source = sources[m_pulls++ % sources.size()];
   m_sends.push_back(
     { { source->m_peer },
