[State] Answer list pulls of hosts that a restarted voter does not know

What users see: a host that has lost its lists, or missed a change, stays on the old ones until the voters learn of it by gossip.

Change: a pull carries the address for the answer, as a pull of the catalog does.

--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -21,6 +21,8 @@
 struct StateOptions
 {
   HostId m_host;
+  /// Where other hosts reach this one.
+  Endpoint m_peer;
   /// Hosts that found the group.
   std::vector<HostId> m_bootstrapHosts;
   /// Peer endpoints of the hosts that found the group, as an alternative to
--- a/include/persimmontally/Wire/StateMessage.h
+++ b/include/persimmontally/Wire/StateMessage.h
@@ -2,6 +2,7 @@
 #define PERSIMMONTALLY_WIRE_STATEMESSAGE_H
 
 #include "persimmontally/Support/Ids.h"
+#include "persimmontally/Support/Settings.h"
 
 #include <cstdint>
 #include <string>
@@ -265,6 +266,9 @@
 struct ListsPull
 {
   HostId m_from;
+  /// Address for the answer: a host that has just started may not know the
+  /// sender yet.
+  Endpoint m_peer;
   uint64_t m_index = 0;
 
   bool operator==(const ListsPull&) const = default;
@@ -272,7 +276,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_from, m_index);
+    aArchive(m_from, m_peer, m_index);
   }
 };
 
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -59,6 +59,7 @@
 {
   StateOptions options;
   options.m_host = aSettings.m_host;
+  options.m_peer = aSettings.m_peerListen;
   options.m_bootstrapHosts = aSettings.m_bootstrapHosts;
   options.m_voters = static_cast<size_t>(aSettings.m_voters);
   options.m_replaceVoterAfter = aSettings.m_replaceVoterAfter;
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -400,14 +400,14 @@
   }
   m_nextPull = aNow + kPullPeriod;
   m_sends.push_back(
-    { newest->m_peer, ListsPull{ m_options.m_host, m_plans.m_index } });
+    { newest->m_peer,
+      ListsPull{ m_options.m_host, m_options.m_peer, m_plans.m_index } });
 }
 
 void StateService::Receive(Instant, const ListsPull& aMessage)
 {
-  const StatePeer* peer = FindPeer(aMessage.m_from);
-  if (peer != nullptr && m_plans.m_index > aMessage.m_index) {
-    m_sends.push_back({ peer->m_peer, m_plans });
+  if (m_plans.m_index > aMessage.m_index) {
+    m_sends.push_back({ aMessage.m_peer, m_plans });
   }
 }
 
--- a/unittests/State/StateSimulation.cpp
+++ b/unittests/State/StateSimulation.cpp
@@ -7,6 +7,11 @@
 static constexpr Duration kStep = milliseconds(10);
 static constexpr Duration kCallPeriod = milliseconds(120);
 
+static Endpoint EndpointOf(size_t aHost)
+{
+  return { "127.0.0.1", static_cast<uint16_t>(1000 + aHost) };
+}
+
 std::string PlansJson(const std::string& aMark)
 {
   return R"({"routine_floor": 0.2, "services": [], "plans": [{"name": ")" +
@@ -51,6 +56,7 @@
   Host& host = m_hosts[aHost];
   StateOptions options;
   options.m_host = host.m_id;
+  options.m_peer = EndpointOf(aHost);
   for (size_t i = 0; i < std::min<size_t>(3, m_options.m_disks); ++i) {
     options.m_bootstrapHosts.push_back(HostId("host-" + std::to_string(i)));
   }
@@ -127,7 +133,7 @@
     StatePeer peer;
     peer.m_host = host.m_id;
     peer.m_dataCentre = DataCentreId("dc-" + std::to_string(i % 3));
-    peer.m_peer = { "127.0.0.1", static_cast<uint16_t>(1000 + i) };
+    peer.m_peer = EndpointOf(i);
     peer.m_isAlive = CanReach(aHost, i);
     if (host.m_image) {
       peer.m_disk = host.m_image->m_disk;
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -60,7 +60,7 @@
            install,
            ProposeRequest{ "p", HostId("h"), order },
            ProposeReply{ "p", true, HostId("h"), {} },
-           ListsPull{ HostId("h"), 3 },
+           ListsPull{ HostId("h"), { "10.0.0.1", 7000 }, 3 },
            ProposeRequest{ "p", HostId("h"), PutCatalog{ 7, "{}" } },
            ProposeRequest{ "p", HostId("h"), ReadCatalog() },
            ListsState{ "g", 4, { 1, "{}" }, { 2, "{}" }, { 3, "{}" } },
