[State] Reply to proposals of hosts that a restarted leader does not know

What users see: a change that is in force is acknowledged only when the leader has learned of the host that took it; until then that host resends it, and after 5 s reports it as undecided.

Change: a proposal carries the address for the reply.

Measured: the new test fails without the change (no reply), and passes with it.

--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -150,6 +150,7 @@
   {
     std::string m_proposal;
     HostId m_from;
+    Endpoint m_peer;
   };
 
   absl::Status Persist(const RaftReady& aReady);
@@ -162,7 +163,7 @@
   void RunRepair(Instant aNow);
   void ResendProposals(Instant aNow);
   void SendProposal(Instant aNow, const std::string& aId, Pending& aPending);
-  void SendReply(const HostId& aTo, ProposeReply aReply);
+  void SendReply(const LocalProposal& aProposal, ProposeReply aReply);
   void Resolve(const std::string& aProposal, const CommandResult& aResult);
   void ApplyCommitted(const std::vector<LogEntry>& aEntries);
   void AdoptSnapshot(const Snapshot& aSnapshot);
--- a/include/persimmontally/Wire/StateMessage.h
+++ b/include/persimmontally/Wire/StateMessage.h
@@ -199,6 +199,8 @@
 {
   std::string m_proposal;
   HostId m_from;
+  /// Address for the reply.
+  Endpoint m_peer;
   Command m_command;
 
   bool operator==(const ProposeRequest&) const = default;
@@ -206,7 +208,7 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_proposal, m_from, m_command);
+    aArchive(m_proposal, m_from, m_peer, m_command);
   }
 };
 
--- a/lib/State/StateProposals.cpp
+++ b/lib/State/StateProposals.cpp
@@ -74,7 +74,9 @@
   aPending.m_sentAt = aNow;
   aPending.m_sent = true;
   if (IsLeader()) {
-    Receive(aNow, ProposeRequest{ aId, m_options.m_host, aPending.m_command });
+    Receive(aNow,
+            ProposeRequest{
+              aId, m_options.m_host, m_options.m_peer, aPending.m_command });
     return;
   }
   HostId leader = LeaderHost();
@@ -95,7 +97,8 @@
   }
   m_sends.push_back(
     { peer->m_peer,
-      ProposeRequest{ aId, m_options.m_host, aPending.m_command } });
+      ProposeRequest{
+        aId, m_options.m_host, m_options.m_peer, aPending.m_command } });
 }
 
 /// Resends the proposals without a result, and ends those whose timeout has
@@ -120,9 +123,12 @@
 /// its sender resends it.
 void StateService::Receive(Instant aNow, const ProposeRequest& aMessage)
 {
+  LocalProposal proposal{ aMessage.m_proposal,
+                          aMessage.m_from,
+                          aMessage.m_peer };
   if (!IsLeader()) {
     HostId leader = LeaderHost();
-    SendReply(aMessage.m_from, { aMessage.m_proposal, false, leader, {} });
+    SendReply(proposal, { aMessage.m_proposal, false, leader, {} });
     return;
   }
   if (!AcceptsCommands()) {
@@ -130,7 +136,7 @@
   }
   auto index = m_raft->Propose(aNow, Encode(aMessage.m_command));
   if (index) {
-    m_localProposals[*index] = { aMessage.m_proposal, aMessage.m_from };
+    m_localProposals[*index] = proposal;
   }
 }
 
@@ -153,18 +159,16 @@
   }
 }
 
-void StateService::SendReply(const HostId& aTo, ProposeReply aReply)
+void StateService::SendReply(const LocalProposal& aProposal,
+                             ProposeReply aReply)
 {
-  if (aTo == m_options.m_host) {
+  if (aProposal.m_from == m_options.m_host) {
     if (aReply.m_isLeader) {
       Resolve(aReply.m_proposal, aReply.m_result);
     }
     return;
   }
-  const StatePeer* peer = FindPeer(aTo);
-  if (peer != nullptr) {
-    m_sends.push_back({ peer->m_peer, std::move(aReply) });
-  }
+  m_sends.push_back({ aProposal.m_peer, std::move(aReply) });
 }
 
 /// Calls the callback of a proposal with its result and removes the proposal.
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -282,7 +282,7 @@
     // If another leader has replaced the entry at this index, the result is not
     // that of this proposal.
     if (IsLeader() && entry.m_term == m_raft->Term()) {
-      SendReply(proposal.m_from,
+      SendReply(proposal,
                 { proposal.m_proposal, true, m_options.m_host, result });
     }
   }
--- a/unittests/State/UnknownHostTest.cpp
+++ b/unittests/State/UnknownHostTest.cpp
@@ -79,3 +79,16 @@
   REQUIRE(lists.size() == 1);
   CHECK(lists[0].m_catalog.m_json == "one");
 }
+
+// Guards against proposals that take effect and whose sender gets no reply.
+TEST_CASE("a voter replies to the proposal of an unknown host")
+{
+  LonelyVoter voter;
+  voter.m_service->Receive(
+    voter.m_now,
+    ProposeRequest{ "p-1", HostId("host-9"), kStranger, ReadCatalog() });
+  voter.RunFor(seconds(1));
+  auto replies = voter.SentTo<ProposeReply>(kStranger);
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].m_result.m_version == 1);
+}
--- a/unittests/Wire/CodecTest.cpp
+++ b/unittests/Wire/CodecTest.cpp
@@ -58,11 +58,13 @@
   return { tables,
            raft,
            install,
-           ProposeRequest{ "p", HostId("h"), order },
+           ProposeRequest{ "p", HostId("h"), { "10.0.0.1", 7000 }, order },
            ProposeReply{ "p", true, HostId("h"), {} },
            ListsPull{ HostId("h"), { "10.0.0.1", 7000 }, 3 },
-           ProposeRequest{ "p", HostId("h"), PutCatalog{ 7, "{}" } },
-           ProposeRequest{ "p", HostId("h"), ReadCatalog() },
+           ProposeRequest{
+             "p", HostId("h"), { "10.0.0.1", 7000 }, PutCatalog{ 7, "{}" } },
+           ProposeRequest{
+             "p", HostId("h"), { "10.0.0.1", 7000 }, ReadCatalog() },
            ListsState{ "g", 4, { 1, "{}" }, { 2, "{}" }, { 3, "{}" } },
            batch,
            ledger };
