[Forwarding] Log the death of an upstream and the requests that may have caused it

Change: a response that is broken off before its fourth event makes the host probe the upstream; if the connection is refused, upstream_died names the requests that it broke off until then. The parts of a prompt are decoded, all but the last identify what requests share. The rows and the judgement that follow are not used yet.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -16,6 +16,7 @@
 
 namespace persimmontally {
 
+class CrashWatch;
 class EventLoop;
 class ForwardFlow;
 class Membership;
@@ -98,6 +99,7 @@
   const ForwardOptions& Options() const { return m_options; }
   LedgerDispatch& Placement() { return m_placement; }
   const LedgerDispatch& Placement() const { return m_placement; }
+  CrashWatch& Crashes() { return *m_crashWatch; }
   HttpConnectionPool& Connections() { return m_connections; }
   RetryBudget& RetryBudgetOf(const std::string& aService);
   /// Sends a refusal to the caller, logs it and counts it.
@@ -141,6 +143,7 @@
   size_t m_entryHosts = 1;
   std::map<RequestId, std::shared_ptr<ForwardFlow>> m_flows;
   std::unique_ptr<MigrationSchedule> m_migrationSchedule;
+  std::unique_ptr<CrashWatch> m_crashWatch;
   /// Version of the upstream table that the schedule is based on.
   uint64_t m_scheduledUpstreams = 0;
   std::string m_idPrefix;
--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace persimmontally {
 
@@ -33,6 +34,9 @@
   uint32_t m_maxOutputTokens = 0;
   /// The caller's estimate; 0 if the request has none.
   uint32_t m_expectedOutputTokens = 0;
+  /// Ids of the parts of the prompt, in order. The last one belongs to this
+  /// request or its session alone.
+  std::vector<std::string> m_promptParts;
   /// Method, target, body, and the headers that are forwarded to upstreams.
   HttpRequest m_http;
 };
--- /dev/null
+++ b/include/persimmontally/Net/ConnectProbe.h
@@ -0,0 +1,25 @@
+#ifndef PERSIMMONTALLY_NET_CONNECTPROBE_H
+#define PERSIMMONTALLY_NET_CONNECTPROBE_H
+
+#include "persimmontally/Support/Settings.h"
+#include "persimmontally/Support/Time.h"
+
+#include "absl/status/status.h"
+
+#include <functional>
+
+namespace persimmontally {
+
+class EventLoop;
+
+/// Opens a TCP connection, closes it at once, and reports the result: `Ok`,
+/// `Unavailable` if no process listens at the address, or `DeadlineExceeded` if
+/// nothing answered within the timeout, and `Unknown` otherwise.
+void ProbeConnection(EventLoop& aLoop,
+                     const Endpoint& aServer,
+                     Duration aTimeout,
+                     std::function<void(absl::Status)> aOnEnd);
+
+} // namespace persimmontally
+
+#endif
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -1,6 +1,9 @@
 #include "ForwardFlow.h"
 
+#include "CrashWatch.h"
+
 #include "persimmontally/Membership/Membership.h"
+#include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
@@ -19,6 +22,19 @@
 /// full.
 static constexpr Duration kRetryAfterRejected = milliseconds(100);
 
+static CrashKeys CrashKeysOf(const RoutedRequest& aRequest,
+                             const AccountId& aAccount)
+{
+  CrashKeys keys;
+  const std::vector<std::string>& parts = aRequest.m_promptParts;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    keys.m_parts.push_back(PromptPartKey(parts[i]));
+  }
+  keys.m_request = Fingerprint(
+    aAccount.Value(), aRequest.m_http.m_target, aRequest.m_http.m_body);
+  return keys;
+}
+
 ForwardFlow::ForwardFlow(ForwardGateway& aGateway,
                          RequestId aId,
                          RoutedRequest aRequest,
@@ -29,6 +45,7 @@
   , m_request(std::move(aRequest))
   , m_target(std::move(aTarget))
   , m_writer(std::move(aWriter))
+  , m_crashKeys(CrashKeysOf(m_request, m_target.m_account))
   , m_arrivedAt(aGateway.Loop().Now())
 {
   m_deadline = m_arrivedAt + m_target.m_route->m_timeout;
@@ -236,6 +253,9 @@
     return;
   }
   if (!aStatus.ok()) {
+    if (absl::IsAborted(aStatus)) {
+      ReportBrokenOff();
+    }
     OnAttemptFailed(std::string(aStatus.message()));
     return;
   }
@@ -353,6 +373,9 @@
     return;
   }
   RecordFailure(false);
+  if (absl::IsAborted(aStatus)) {
+    ReportBrokenOff();
+  }
   if (HasBackup()) {
     SwitchToBackup(std::string(aStatus.message()));
     return;
@@ -362,6 +385,18 @@
 
 // Failed attempts and their retries, the deadline, refusal and interruption.
 
+void ForwardFlow::ReportBrokenOff()
+{
+  bool isSound = m_events.Events() >= CrashEvidence::kSoundEvents;
+  if (!isSound) {
+    bool hasBegun = m_state == State::Streaming;
+    m_gateway.Crashes().OnBrokenOff(m_upstream,
+                                    m_upstreamEndpoint,
+                                    m_request.m_id,
+                                    { m_crashKeys, hasBegun });
+  }
+}
+
 void ForwardFlow::RecordFailure(bool aIsGone)
 {
   m_gateway.Placement().Local().RecordFailure(
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -4,6 +4,7 @@
 #include "LiveCopy.h"
 #include "persimmontally/Forwarding/EventSplitter.h"
 #include "persimmontally/Net/EventLoop.h"
+#include "persimmontally/Routing/CrashEvidence.h"
 
 #include <memory>
 #include <set>
@@ -102,6 +103,9 @@
   void ForwardEvents(std::string_view aData);
   void PauseUpstreamIfCallerIsSlow();
   void ReportProgress();
+  /// Reports a request that the upstream has broken off to the crash watch,
+  /// unless it is known to be sound.
+  void ReportBrokenOff();
   void RecordFailure(bool aIsGone);
   void OnConnectFailed(const std::string& aReason);
   void OnRejected();
@@ -126,6 +130,7 @@
   RoutedRequest m_request;
   ForwardTarget m_target;
   std::shared_ptr<ResponseWriter> m_writer;
+  CrashKeys m_crashKeys;
 
   State m_state = State::Queued;
   int m_sends = 0;
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -1,5 +1,6 @@
 #include "persimmontally/Forwarding/ForwardGateway.h"
 
+#include "CrashWatch.h"
 #include "ForwardFlow.h"
 #include "MigrationPlan.h"
 
@@ -37,6 +38,7 @@
   , m_connections(aLoop)
   , m_random(aSeed)
   , m_migrationSchedule(std::make_unique<MigrationSchedule>())
+  , m_crashWatch(std::make_unique<CrashWatch>(aLoop, aMembership, aMetrics))
   , m_idPrefix(m_options.m_host.Value() + "-" + std::to_string(aSeed % 100000))
 {
 }
