[Forwarding, Routing] Quarantine parts of prompts under which engines crash

Callers saw engines crash one after the other, each with all the streams that it ran, by requests that share one part of their prompts.

Cause: the routes had no quarantine at all.

Change: a host that finds an upstream dead reports the parts, all but the last, and the fingerprint of each request that was broken off there before its fourth event. Evidence is counted by separate deaths, more if the response had begun, and spreads as poison rows. Four events, or a whole response, void the evidence on all hosts; a host that has seen a part in a sound request vouches for it, which doubles the evidence that is needed. A key whose deaths another one with more evidence explains is let go. Quarantined requests are refused at once with 503 (kind suspended), also while they queue or are being read. One request is let through as a trial after 20 s, then ever more rarely.

Why it works: the crash comes when the engine begins to respond, so of all requests on it just one has begun without an event; two such deaths name the part before the fifth crash, and a sound part is cleared by the next request that succeeds.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -85,6 +85,9 @@
     m_onLedger = std::move(aAction);
   }
 
+  /// Sets the action that sends queued membership messages to the peers.
+  void OnMembershipSends(std::function<void()> aAction);
+
   /// Returns whether requests are queued, generations may have to migrate or
   /// changes of the ledger are to be sent, which are handled by `Tick`.
   bool IsBusy() const;
@@ -95,6 +98,7 @@
   EventLoop& Loop() { return m_loop; }
   Membership& Members() { return m_membership; }
   Metrics& Counters() { return m_metrics; }
+  size_t EntryHosts() const { return m_entryHosts; }
   const WireProtocol& Protocol() const { return m_protocol; }
   const ForwardOptions& Options() const { return m_options; }
   LedgerDispatch& Placement() { return m_placement; }
@@ -128,6 +132,8 @@
   /// Calls the action of `OnBusy` if the gateway has become busy.
   void NotifyIfBusy();
   void StartDueMigrations();
+  /// Ends requests that have been quarantined since they arrived.
+  void EndQuarantinedRequests();
 
   EventLoop& m_loop;
   Membership& m_membership;
@@ -146,6 +152,8 @@
   std::unique_ptr<CrashWatch> m_crashWatch;
   /// Version of the upstream table that the schedule is based on.
   uint64_t m_scheduledUpstreams = 0;
+  /// Version of the poison rows that all open requests were compared with.
+  uint64_t m_checkedPoison = 0;
   std::string m_idPrefix;
   uint64_t m_nextId = 1;
   bool m_acceptsRequests = true;
--- a/include/persimmontally/Membership/Membership.h
+++ b/include/persimmontally/Membership/Membership.h
@@ -68,6 +68,16 @@
   bool operator==(const HostChange&) const = default;
 };
 
+/// When this host last received or made changes of a poison row.
+struct PoisonTimes
+{
+  Instant m_changedAt;
+  /// When the strikes last grew.
+  Instant m_struckAt;
+  /// When the number of trials last grew.
+  Instant m_triedAt;
+};
+
 /// Membership of hosts and upstreams, based on SWIM (Das, Gupta, Motivala,
 /// 2002): direct and indirect probes, suspicion before a host is declared
 /// dead, and dissemination of changed rows by gossip. Renewals of upstream
@@ -127,6 +137,13 @@
   std::optional<Instant> DownSince(const HostId& aId) const;
   const UpstreamTable& Upstreams() const { return m_upstreams; }
   const std::map<uint64_t, PoisonRow>& Poison() const { return m_poison; }
+  /// By fingerprint.
+  const std::map<uint64_t, PoisonTimes>& PoisonTimesByFingerprint() const
+  {
+    return m_poisonTimes;
+  }
+  /// Incremented when a poison row is added or changed.
+  uint64_t PoisonVersion() const { return m_poisonVersion; }
 
 private:
   struct ProbeState
@@ -151,6 +168,8 @@
   /// Returns whether the row has changed the table.
   bool MergeUpstream(Instant aNow, const UpstreamRow& aRow);
   void MergePoison(Instant aNow, const PoisonRow& aRow);
+  /// Removes the poison row with the least evidence, of these the oldest.
+  void EvictPoison();
   /// Renews leases, and requests the sender's tables if a renewed upstream or
   /// its incarnation is unknown here.
   void ApplyRenewals(Instant aNow,
@@ -208,7 +227,8 @@
   UpstreamTable m_upstreams;
   /// By fingerprint.
   std::map<uint64_t, PoisonRow> m_poison;
-  std::map<uint64_t, Instant> m_poisonChangedAt;
+  std::map<uint64_t, PoisonTimes> m_poisonTimes;
+  uint64_t m_poisonVersion = 0;
 
   /// Rows to be pushed, with the number of pushes left.
   std::map<HostId, int> m_hostPushesLeft;
--- a/include/persimmontally/Routing/CrashEvidence.h
+++ b/include/persimmontally/Routing/CrashEvidence.h
@@ -1,12 +1,13 @@
 #ifndef PERSIMMONTALLY_ROUTING_CRASHEVIDENCE_H
 #define PERSIMMONTALLY_ROUTING_CRASHEVIDENCE_H
 
+#include "persimmontally/Membership/Membership.h"
 #include "persimmontally/Support/Time.h"
-#include "persimmontally/Wire/PoisonRow.h"
 
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -40,8 +41,7 @@
 struct PoisonView
 {
   const std::map<uint64_t, PoisonRow>& m_rows;
-  /// When the local row last changed, by fingerprint.
-  const std::map<uint64_t, Instant>& m_changedAt;
+  const std::map<uint64_t, PoisonTimes>& m_times;
 };
 
 /// Finds out which requests crash upstreams, by what those have in common that
@@ -66,39 +66,66 @@
   /// Evidence at which a key is quarantined: two deaths of requests that had
   /// begun.
   static constexpr uint32_t kQuarantineStrikes = 4;
-  /// The same for a part that this host has seen in a sound request.
-  static constexpr uint32_t kQuarantineStrikesIfSound = 6;
+  /// The same for a part that any host has seen in a sound request.
+  static constexpr uint32_t kQuarantineStrikesIfSound = 8;
   /// Events after which a request counts as sound.
   static constexpr uint32_t kSoundEvents = 4;
-  /// Time from the last evidence or trial until the first trial; doubles with
-  /// each trial, up to `kMaxTrialDelay`.
-  static constexpr Duration kTrialDelay = seconds(30);
+  /// Time from the last evidence or trial until the next trial; grows by
+  /// `kTrialDelayFactor` with each death after the quarantine began, up to
+  /// `kMaxTrialDelay`. A trial may also end without a result.
+  static constexpr Duration kTrialDelay = seconds(20);
+  static constexpr int kTrialDelayFactor = 4;
   static constexpr Duration kMaxTrialDelay = std::chrono::hours(1);
+  /// Number of hosts up to which the first request that reaches any of them
+  /// after a trial is due becomes the trial. In a larger fleet, so many of the
+  /// hosts do that, drawn at random, as more requests arrive before the others
+  /// are notified.
+  static constexpr size_t kTrialHosts = 30;
+  /// The same for a request that has one of two keys with the same deaths, so
+  /// that its trial shows which of them is to blame.
+  static constexpr Duration kDecidingTrialDelay = seconds(2);
   /// Number of sound parts that are remembered, those seen last.
   static constexpr size_t kMaxSoundParts = 4096;
 
   /// Records that a request is sound. Returns the rows that become void.
   std::vector<PoisonRow> RecordSound(const PoisonView& aView,
                                      const CrashKeys& aKeys);
-  /// Records the death of an upstream. Parts that are known to be sound are
-  /// suspects only if all parts of the request are. Returns the rows that
-  /// change.
+  /// Records the death of an upstream. Returns the rows that change.
   std::vector<PoisonRow> RecordDeath(
     Instant aNow,
     const PoisonView& aView,
     const std::string& aDeath,
     const std::vector<CrashSuspect>& aSuspects);
 
-  /// Returns the quarantined keys of a request.
+  /// Returns the quarantined keys of a request. A key whose deaths are all
+  /// explained by another one with more evidence is not quarantined.
   std::vector<uint64_t> Quarantined(const PoisonView& aView,
                                     const CrashKeys& aKeys) const;
-  /// Returns when the next trial of a quarantined key is due.
-  static Instant TrialDueAt(const PoisonView& aView, uint64_t aKey);
-  /// Returns whether this host has seen all parts of a request in sound ones.
-  bool AreAllPartsSound(const CrashKeys& aKeys) const;
+  /// Returns when a request with these quarantined keys may be the next trial.
+  Instant TrialDueAt(const PoisonView& aView,
+                     const std::vector<uint64_t>& aQuarantined) const;
+  /// Returns whether all parts of a request were seen in sound ones.
+  bool AreAllPartsSound(const PoisonView& aView, const CrashKeys& aKeys) const;
+  /// Returns the row of a suspected part, vouched for by this host; nothing if
+  /// this host cannot vouch for it or another one already has.
+  std::optional<PoisonRow> Vouch(const PoisonView& aView, uint64_t aPart) const;
 
 private:
-  bool IsSound(uint64_t aPart) const { return m_soundParts.contains(aPart); }
+  enum class Rival
+  {
+    Stronger,
+    Equal
+  };
+
+  bool IsSound(const PoisonView& aView, uint64_t aPart) const;
+  uint32_t QuarantineLimit(const PoisonView& aView, uint64_t aKey) const;
+  bool HasQuarantineEvidence(const PoisonView& aView,
+                             const PoisonRow& aRow) const;
+  /// Returns whether another quarantined key has all deaths of a row, and more
+  /// or equal evidence.
+  bool HasRival(const PoisonView& aView,
+                const PoisonRow& aRow,
+                Rival aRival) const;
   void Remember(uint64_t aPart);
 
   /// The part seen last comes first.
--- a/include/persimmontally/Support/ErrorKind.h
+++ b/include/persimmontally/Support/ErrorKind.h
@@ -31,6 +31,7 @@
   DeadlineExceeded,
   NoUpstream,
   Quarantined,
+  Suspended,
   NoQuorum,
   ShuttingDown,
   UpstreamFailed,
--- a/include/persimmontally/Wire/PoisonRow.h
+++ b/include/persimmontally/Wire/PoisonRow.h
@@ -21,6 +21,8 @@
   /// Number of requests that were let through in spite of a quarantine, to
   /// find out whether it is still needed.
   uint32_t m_trials = 0;
+  /// Whether a host has seen the part in a request that was sound.
+  bool m_isVouched = false;
   /// `upstream/incarnation` of each upstream that died while running the
   /// request.
   std::set<std::string> m_deaths;
@@ -33,7 +35,8 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(m_fingerprint, m_epoch, m_strikes, m_trials, m_deaths, m_cleared);
+    aArchive(m_fingerprint, m_epoch, m_strikes, m_trials, m_isVouched);
+    aArchive(m_deaths, m_cleared);
   }
 };
 
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -184,6 +184,7 @@
     }
     m_core.Send(peers, aChange);
   });
+  m_gateway->OnMembershipSends([this] { m_core.FlushMembership(); });
   m_core.OnHostChange(
     [this](const HostChange& aChange) { OnHostChange(aChange); });
   m_gateway->OnBusy([this] { ScheduleGatewayTick(); });
--- a/lib/Forwarding/CrashWatch.cpp
+++ b/lib/Forwarding/CrashWatch.cpp
@@ -6,21 +6,124 @@
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
+#include <algorithm>
+
 namespace persimmontally {
 
 /// Several round trips between regions. The address of a process that has died
 /// refuses at once.
 static constexpr Duration kProbeTimeout = milliseconds(400);
+/// Longest wait before this host vouches for parts: long enough for the others
+/// to learn of the first of them that does.
+static constexpr Duration kVouchWaitPerHost = milliseconds(5);
+static constexpr Duration kMaxVouchWait = seconds(1);
+/// Shortest retry delay suggested for a quarantined request.
+static constexpr Duration kMinRetryDelay = seconds(1);
 
 CrashWatch::CrashWatch(EventLoop& aLoop,
                        Membership& aMembership,
-                       Metrics& aMetrics)
+                       Metrics& aMetrics,
+                       uint64_t aSeed)
   : m_loop(aLoop)
   , m_membership(aMembership)
   , m_metrics(aMetrics)
+  , m_random(aSeed)
 {
 }
 
+PoisonView CrashWatch::View() const
+{
+  return { m_membership.Poison(), m_membership.PoisonTimesByFingerprint() };
+}
+
+void CrashWatch::Report(const std::vector<PoisonRow>& aRows, const char* aEvent)
+{
+  for (const PoisonRow& row : aRows) {
+    WriteLog(LogLevel::Info,
+             aEvent,
+             { { "fingerprint", row.m_fingerprint },
+               { "strikes", row.m_strikes },
+               { "deaths", row.m_deaths.size() },
+               { "trials", row.m_trials } });
+    m_membership.ReportPoison(m_loop.Now(), row);
+  }
+  if (!aRows.empty() && m_onReport) {
+    m_onReport();
+  }
+}
+
+void CrashWatch::OnSound(const CrashKeys& aKeys)
+{
+  Report(m_evidence.RecordSound(View(), aKeys), "suspicion_cleared");
+}
+
+void CrashWatch::VouchForSoundParts(size_t aHosts)
+{
+  const auto& rows = m_membership.Poison();
+  bool canVouch = std::any_of(rows.begin(), rows.end(), [&](const auto& aItem) {
+    return m_evidence.Vouch(View(), aItem.first).has_value();
+  });
+  if (!canVouch || std::exchange(m_isVouchScheduled, true)) {
+    return;
+  }
+  Duration longest = std::min<Duration>(
+    kVouchWaitPerHost * static_cast<int64_t>(aHosts), kMaxVouchWait);
+  std::uniform_int_distribution<Duration::rep> draw(0, longest.count());
+  m_vouchTimer = m_loop.RunAfter(Duration(draw(m_random)), [this] { Vouch(); });
+}
+
+void CrashWatch::Vouch()
+{
+  m_isVouchScheduled = false;
+  std::vector<PoisonRow> vouched;
+  for (const auto& [key, row] : m_membership.Poison()) {
+    if (auto changed = m_evidence.Vouch(View(), key)) {
+      vouched.push_back(std::move(*changed));
+    }
+  }
+  Report(vouched, "vouched");
+}
+
+bool CrashWatch::IsQuarantined(const CrashKeys& aKeys) const
+{
+  return !m_evidence.Quarantined(View(), aKeys).empty();
+}
+
+Duration CrashWatch::OnRefused(const CrashKeys& aKeys,
+                               const std::string& aRequestId) const
+{
+  std::vector<uint64_t> keys = m_evidence.Quarantined(View(), aKeys);
+  std::string fingerprints;
+  for (uint64_t key : keys) {
+    fingerprints += (fingerprints.empty() ? "" : ",") + std::to_string(key);
+  }
+  WriteLog(LogLevel::Info,
+           "quarantined",
+           { { "request", aRequestId }, { "fingerprints", fingerprints } });
+  return std::max<Duration>(kMinRetryDelay,
+                            m_evidence.TrialDueAt(View(), keys) - m_loop.Now());
+}
+
+bool CrashWatch::StartTrial(const CrashKeys& aKeys,
+                            const std::string& aRequestId,
+                            size_t aHosts)
+{
+  std::vector<uint64_t> keys = m_evidence.Quarantined(View(), aKeys);
+  std::uniform_int_distribution<size_t> draw(1, std::max<size_t>(1, aHosts));
+  if (m_loop.Now() < m_evidence.TrialDueAt(View(), keys) ||
+      draw(m_random) > CrashEvidence::kTrialHosts) {
+    return false;
+  }
+  std::vector<PoisonRow> rows;
+  for (uint64_t key : keys) {
+    rows.push_back(m_membership.Poison().at(key));
+    ++rows.back().m_trials;
+  }
+  WriteLog(LogLevel::Info, "quarantine_trial", { { "request", aRequestId } });
+  Report(rows, "trial_started");
+  return true;
+}
+
 void CrashWatch::OnBrokenOff(const UpstreamId& aUpstream,
                              const Endpoint& aEndpoint,
                              const std::string& aRequestId,
@@ -67,6 +170,8 @@
              { "begun", begun },
              { "requests", requests } });
   m_metrics.Add("upstream_deaths_total");
+  Report(m_evidence.RecordDeath(m_loop.Now(), View(), aDeath, check.m_suspects),
+         "suspected");
 }
 
 } // namespace persimmontally
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -101,6 +101,9 @@
 void ForwardFlow::Enqueue()
 {
   m_state = State::Queued;
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   auto refusal =
     m_gateway.Placement().Enqueue(m_gateway.Loop().Now(), MakeTicket());
   if (refusal) {
@@ -138,6 +141,9 @@
       { "waited_ms", ToMilliseconds(m_gateway.Loop().Now() - m_arrivedAt) },
       { "catalog", m_target.m_routes->Version() } });
   m_upstream = aGrant.m_upstream;
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   if (entry == nullptr || TimeLeft() < kMinTimeLeft) {
     Refuse(RefusalBuilder(ErrorKind::Overloaded,
                           "too little time left before the deadline")
@@ -288,6 +294,7 @@
       TryAgain("status " + std::to_string(m_head.m_status), true)) {
     return;
   }
+  ReportSound();
   m_writer->SendResponse(
     { m_head.m_status, m_head.m_headers, std::move(m_body) });
   Close(DispatchOutcome::Finished,
@@ -323,6 +330,9 @@
   if (m_engineFirstEventAt == Instant()) {
     m_engineFirstEventAt = now;
   }
+  if (m_events.Events() >= CrashEvidence::kSoundEvents) {
+    ReportSound();
+  }
   ReportProgress();
   m_writer->Write(whole);
   PauseUpstreamIfCallerIsSlow();
@@ -357,6 +367,7 @@
 void ForwardFlow::OnStreamEnd(const absl::Status& aStatus)
 {
   if (aStatus.ok()) {
+    ReportSound();
     m_writer->Write(m_events.Remainder());
     m_writer->Finish();
     Close(DispatchOutcome::Finished, "finished");
@@ -385,10 +396,16 @@
 
 // Failed attempts and their retries, the deadline, refusal and interruption.
 
+void ForwardFlow::ReportSound()
+{
+  if (!std::exchange(m_isSound, true)) {
+    m_gateway.Crashes().OnSound(m_crashKeys);
+  }
+}
+
 void ForwardFlow::ReportBrokenOff()
 {
-  bool isSound = m_events.Events() >= CrashEvidence::kSoundEvents;
-  if (!isSound) {
+  if (!m_isSound) {
     bool hasBegun = m_state == State::Streaming;
     m_gateway.Crashes().OnBrokenOff(m_upstream,
                                     m_upstreamEndpoint,
@@ -397,6 +414,49 @@
   }
 }
 
+bool ForwardFlow::RefuseIfQuarantined()
+{
+  CrashWatch& crashes = m_gateway.Crashes();
+  if (m_isSound || m_isTrial || !crashes.IsQuarantined(m_crashKeys)) {
+    return false;
+  }
+  if (!m_wasSent) {
+    m_isTrial =
+      crashes.StartTrial(m_crashKeys, m_request.m_id, m_gateway.EntryHosts());
+  }
+  if (!m_isTrial) {
+    RefuseAsQuarantined();
+  }
+  return !m_isTrial;
+}
+
+void ForwardFlow::RefuseAsQuarantined()
+{
+  m_gateway.Counters().Add("quarantined_requests_total");
+  Duration left = m_gateway.Crashes().OnRefused(m_crashKeys, m_request.m_id);
+  if (m_wasSent) {
+    Refuse(RefusalBuilder(ErrorKind::UpstreamFailed,
+                          "requests like this one crash upstreams")
+             .AfterSend()
+             .Build());
+    return;
+  }
+  Refuse(RefusalBuilder(ErrorKind::Suspended,
+                        "requests like this one crash upstreams")
+           .WithRetryAfter(left)
+           .Build());
+}
+
+void ForwardFlow::EndIfQuarantined()
+{
+  bool isUnheard =
+    m_state == State::Queued || (m_state == State::Sent && IsGeneration());
+  if (isUnheard && !m_isTrial && !m_isSound &&
+      m_gateway.Crashes().IsQuarantined(m_crashKeys)) {
+    RefuseAsQuarantined();
+  }
+}
+
 void ForwardFlow::RecordFailure(bool aIsGone)
 {
   m_gateway.Placement().Local().RecordFailure(
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -39,6 +39,10 @@
   void OnGrant(const DispatchGrant& aGrant);
   void OnRefused(const Refusal& aRefusal);
 
+  /// Ends a request that is queued, or that its upstream is still reading, if
+  /// it is now known to crash upstreams.
+  void EndIfQuarantined();
+
   /// Whether the generation can be migrated now and is long enough to be.
   bool CanMigrate() const;
   const UpstreamId& Upstream() const { return m_upstream; }
@@ -106,6 +110,12 @@
   /// Reports a request that the upstream has broken off to the crash watch,
   /// unless it is known to be sound.
   void ReportBrokenOff();
+  /// Records that the request is sound, once.
+  void ReportSound();
+  /// Refuses a request that crashes upstreams, unless this host lets it through
+  /// as a trial. Returns whether it was refused.
+  bool RefuseIfQuarantined();
+  void RefuseAsQuarantined();
   void RecordFailure(bool aIsGone);
   void OnConnectFailed(const std::string& aReason);
   void OnRejected();
@@ -131,6 +141,9 @@
   ForwardTarget m_target;
   std::shared_ptr<ResponseWriter> m_writer;
   CrashKeys m_crashKeys;
+  bool m_isSound = false;
+  /// Whether the request runs in spite of a quarantine.
+  bool m_isTrial = false;
 
   State m_state = State::Queued;
   int m_sends = 0;
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -38,7 +38,8 @@
   , m_connections(aLoop)
   , m_random(aSeed)
   , m_migrationSchedule(std::make_unique<MigrationSchedule>())
-  , m_crashWatch(std::make_unique<CrashWatch>(aLoop, aMembership, aMetrics))
+  , m_crashWatch(
+      std::make_unique<CrashWatch>(aLoop, aMembership, aMetrics, m_random()))
   , m_idPrefix(m_options.m_host.Value() + "-" + std::to_string(aSeed % 100000))
 {
 }
@@ -254,8 +255,30 @@
   }
 }
 
+void ForwardGateway::OnMembershipSends(std::function<void()> aAction)
+{
+  m_crashWatch->OnReport(std::move(aAction));
+}
+
+void ForwardGateway::EndQuarantinedRequests()
+{
+  uint64_t version = m_membership.PoisonVersion();
+  if (std::exchange(m_checkedPoison, version) == version) {
+    return;
+  }
+  m_crashWatch->VouchForSoundParts(m_entryHosts);
+  std::vector<std::shared_ptr<ForwardFlow>> flows;
+  for (const auto& [id, flow] : m_flows) {
+    flows.push_back(flow);
+  }
+  for (const auto& flow : flows) {
+    flow->EndIfQuarantined();
+  }
+}
+
 void ForwardGateway::Tick()
 {
+  EndQuarantinedRequests();
   RunPlacement();
   StartDueMigrations();
   NotifyIfBusy();
--- a/lib/Membership/MembershipSends.cpp
+++ b/lib/Membership/MembershipSends.cpp
@@ -15,7 +15,7 @@
 /// The same in a message without rows of hosts.
 static constexpr size_t kUpstreamsAlonePerMessage = 5;
 static constexpr size_t kRenewalsPerMessage = 18;
-static constexpr size_t kPoisonPerMessage = 2;
+static constexpr size_t kPoisonPerMessage = 1;
 
 /// Number of peers up to which all receive an urgent update directly. In a
 /// larger fleet, those in other data centres receive it through a relay.
@@ -190,16 +190,15 @@
 
 void Membership::ReportPoison(Instant aNow, const PoisonRow& aRow)
 {
-  PoisonRow before = m_poison[aRow.m_fingerprint];
+  uint64_t version = m_poisonVersion;
   MergePoison(aNow, aRow);
-  const PoisonRow& after = m_poison[aRow.m_fingerprint];
-  if (after == before) {
+  if (m_poisonVersion == version) {
     return;
   }
   // A caller can repeat the request immediately through any host, so the row
   // is sent without waiting for the next push.
   GossipMessage message;
-  message.m_poison.push_back(after);
+  message.m_poison.push_back(m_poison.at(aRow.m_fingerprint));
   std::vector<HostId> targets = AlivePeers();
   if (targets.size() > kMaxDirectTargets) {
     targets = AliveHosts(true);
--- a/lib/Routing/CrashEvidence.cpp
+++ b/lib/Routing/CrashEvidence.cpp
@@ -22,10 +22,10 @@
   return row;
 }
 
-static Instant ChangedAt(const PoisonView& aView, uint64_t aKey)
+static PoisonTimes FindTimes(const PoisonView& aView, uint64_t aKey)
 {
-  auto at = aView.m_changedAt.find(aKey);
-  return at == aView.m_changedAt.end() ? Instant() : at->second;
+  auto at = aView.m_times.find(aKey);
+  return at == aView.m_times.end() ? PoisonTimes() : at->second;
 }
 
 void CrashEvidence::Remember(uint64_t aPart)
@@ -60,6 +60,7 @@
     PoisonRow row;
     row.m_fingerprint = key;
     row.m_epoch = at->second.m_epoch + 1;
+    row.m_isVouched = key != aKeys.m_request;
     changed.push_back(std::move(row));
   }
   return changed;
@@ -74,11 +75,8 @@
   std::map<uint64_t, uint32_t> strikes;
   for (const CrashSuspect& suspect : aSuspects) {
     uint32_t weight = suspect.m_hasBegun ? kStrikesIfBegun : kStrikesIfRead;
-    bool blamesSoundParts = AreAllPartsSound(suspect.m_keys);
     for (uint64_t part : suspect.m_keys.m_parts) {
-      if (blamesSoundParts || !IsSound(part)) {
-        strikes[part] = std::max(strikes[part], weight);
-      }
+      strikes[part] = std::max(strikes[part], weight);
     }
     uint32_t& request = strikes[suspect.m_keys.m_request];
     request = std::max(request, weight);
@@ -89,14 +87,50 @@
     if (!row.m_deaths.insert(aDeath).second) {
       continue;
     }
-    bool isSeparate =
-      row.m_strikes == 0 || aNow >= ChangedAt(aView, key) + kDeathSpacing;
+    bool isSeparate = row.m_strikes == 0 ||
+                      aNow >= FindTimes(aView, key).m_struckAt + kDeathSpacing;
     row.m_strikes += isSeparate ? weight : 0;
     changed.push_back(std::move(row));
   }
   return changed;
 }
 
+uint32_t CrashEvidence::QuarantineLimit(const PoisonView& aView,
+                                        uint64_t aKey) const
+{
+  return IsSound(aView, aKey) ? kQuarantineStrikesIfSound : kQuarantineStrikes;
+}
+
+bool CrashEvidence::HasQuarantineEvidence(const PoisonView& aView,
+                                          const PoisonRow& aRow) const
+{
+  return aRow.m_strikes >= QuarantineLimit(aView, aRow.m_fingerprint);
+}
+
+bool CrashEvidence::HasRival(const PoisonView& aView,
+                             const PoisonRow& aRow,
+                             Rival aRival) const
+{
+  auto evidence = [](const PoisonRow& aSide) {
+    return std::pair(aSide.m_strikes, aSide.m_deaths.size());
+  };
+  return std::any_of(
+    aView.m_rows.begin(), aView.m_rows.end(), [&](const auto& aItem) {
+      const PoisonRow& other = aItem.second;
+      bool isStronger =
+        other.m_strikes >= aRow.m_strikes && evidence(other) != evidence(aRow);
+      bool isRival = aRival == Rival::Stronger
+                       ? isStronger
+                       : evidence(other) == evidence(aRow);
+      return isRival && other.m_fingerprint != aRow.m_fingerprint &&
+             HasQuarantineEvidence(aView, other) &&
+             std::includes(other.m_deaths.begin(),
+                           other.m_deaths.end(),
+                           aRow.m_deaths.begin(),
+                           aRow.m_deaths.end());
+    });
+}
+
 std::vector<uint64_t> CrashEvidence::Quarantined(const PoisonView& aView,
                                                  const CrashKeys& aKeys) const
 {
@@ -104,26 +138,64 @@
   keys.push_back(aKeys.m_request);
   std::erase_if(keys, [&](uint64_t aKey) {
     auto at = aView.m_rows.find(aKey);
-    uint32_t limit =
-      IsSound(aKey) ? kQuarantineStrikesIfSound : kQuarantineStrikes;
-    return at == aView.m_rows.end() || at->second.m_strikes < limit;
+    return at == aView.m_rows.end() ||
+           !HasQuarantineEvidence(aView, at->second) ||
+           HasRival(aView, at->second, Rival::Stronger);
   });
   return keys;
 }
 
-Instant CrashEvidence::TrialDueAt(const PoisonView& aView, uint64_t aKey)
+Instant CrashEvidence::TrialDueAt(
+  const PoisonView& aView,
+  const std::vector<uint64_t>& aQuarantined) const
+{
+  Instant dueAt;
+  for (uint64_t key : aQuarantined) {
+    PoisonRow row = FindRow(aView, key);
+    Duration delay = kTrialDelay;
+    uint32_t failedTrials =
+      (row.m_strikes - QuarantineLimit(aView, key)) / kStrikesIfBegun;
+    for (uint32_t i = 0; i < failedTrials && delay < kMaxTrialDelay; ++i) {
+      delay *= kTrialDelayFactor;
+    }
+    if (aQuarantined.size() == 1 && HasRival(aView, row, Rival::Equal)) {
+      delay = kDecidingTrialDelay;
+    }
+    PoisonTimes times = FindTimes(aView, key);
+    dueAt = std::max(dueAt,
+                     std::max(times.m_struckAt, times.m_triedAt) +
+                       std::min<Duration>(delay, kMaxTrialDelay));
+  }
+  return dueAt;
+}
+
+bool CrashEvidence::IsSound(const PoisonView& aView, uint64_t aPart) const
 {
-  constexpr uint32_t kMaxDoublings = 10;
-  uint32_t trials = FindRow(aView, aKey).m_trials;
-  Duration delay = kTrialDelay * (1 << std::min(trials, kMaxDoublings));
-  return ChangedAt(aView, aKey) + std::min<Duration>(delay, kMaxTrialDelay);
+  auto at = aView.m_rows.find(aPart);
+  return m_soundParts.contains(aPart) ||
+         (at != aView.m_rows.end() && at->second.m_isVouched);
+}
+
+std::optional<PoisonRow> CrashEvidence::Vouch(const PoisonView& aView,
+                                              uint64_t aPart) const
+{
+  auto at = aView.m_rows.find(aPart);
+  bool isOpen = at != aView.m_rows.end() && at->second.m_strikes > 0 &&
+                !at->second.m_isVouched;
+  if (!isOpen || !m_soundParts.contains(aPart)) {
+    return std::nullopt;
+  }
+  PoisonRow row = at->second;
+  row.m_isVouched = true;
+  return row;
 }
 
-bool CrashEvidence::AreAllPartsSound(const CrashKeys& aKeys) const
+bool CrashEvidence::AreAllPartsSound(const PoisonView& aView,
+                                     const CrashKeys& aKeys) const
 {
   return std::all_of(aKeys.m_parts.begin(),
                      aKeys.m_parts.end(),
-                     [&](uint64_t aPart) { return IsSound(aPart); });
+                     [&](uint64_t aPart) { return IsSound(aView, aPart); });
 }
 
 } // namespace persimmontally
--- a/lib/Support/ErrorKind.cpp
+++ b/lib/Support/ErrorKind.cpp
@@ -119,6 +119,7 @@
       false },
     { K::NoUpstream, "no_upstream", 503, Ran::No, Ran::No, kLongWait, true },
     { K::Quarantined, "quarantined", 422, Ran::No, Ran::Yes, kNoRetry, false },
+    { K::Suspended, "suspended", 503, Ran::No, Ran::No, kLongWait, true },
     { K::NoQuorum, "no_quorum", 503, Ran::No, Ran::No, kLongWait, true },
     { K::ShuttingDown,
       "shutting_down",
--- a/unittests/Forwarding/ForwardSite.cpp
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -101,13 +101,14 @@
                               const std::string& aService,
                               Handler aHandler)
 {
-  m_servers.push_back(std::make_unique<HttpServer>(
+  std::unique_ptr<HttpServer>& server = m_servers[aId];
+  server = std::make_unique<HttpServer>(
     m_loop,
     HttpLimits(),
     [aHandler](const HttpRequest& aRequest, const Writer& aWriter) {
       aHandler(aRequest, aWriter);
-    }));
-  auto port = m_servers.back()->Listen({ "127.0.0.1", 0 });
+    });
+  auto port = server->Listen({ "127.0.0.1", 0 });
   REQUIRE(port.ok());
   Announce(aId, aService, { "127.0.0.1", *port }, UpstreamState::Serving);
 }
@@ -129,6 +130,11 @@
   Announce(aId, aService, { "127.0.0.1", *port }, UpstreamState::Serving);
 }
 
+void ForwardSite::Kill(const std::string& aId)
+{
+  m_servers.erase(aId);
+}
+
 void ForwardSite::SetState(const std::string& aId, UpstreamState aState)
 {
   const UpstreamRow row = m_rows.at(aId);
--- a/unittests/Forwarding/ForwardSite.h
+++ b/unittests/Forwarding/ForwardSite.h
@@ -46,6 +46,8 @@
                      const Endpoint& aEndpoint);
   /// Announces an upstream whose port refuses connections.
   void AddDeadUpstream(const std::string& aId, const std::string& aService);
+  /// Ends an upstream and its connections, so that its port refuses new ones.
+  void Kill(const std::string& aId);
   void SetState(const std::string& aId, UpstreamState aState);
   Endpoint EndpointOf(const std::string& aId) const;
 
@@ -72,7 +74,7 @@
   std::unique_ptr<ForwardGateway> m_gateway;
   std::unique_ptr<HttpServer> m_callers;
   Endpoint m_callersAt;
-  std::vector<std::unique_ptr<HttpServer>> m_servers;
+  std::map<std::string, std::unique_ptr<HttpServer>> m_servers;
   std::map<std::string, UpstreamRow> m_rows;
   Timer m_ticker;
   int m_nextRequest = 1;
