--- a/lib/Forwarding/CrashWatch.cpp
+++ b/lib/Forwarding/CrashWatch.cpp
@@ -124,6 +124,11 @@
   return true;
 }
 
+bool CrashWatch::MayResume(const CrashKeys& aKeys) const
+{
+  return m_evidence.AreAllPartsSound(View(), aKeys) && !IsQuarantined(aKeys);
+}
+
 void CrashWatch::OnBrokenOff(const UpstreamId& aUpstream,
                              const Endpoint& aEndpoint,
                              const std::string& aRequestId,
--- a/lib/Forwarding/CrashWatch.h
+++ b/lib/Forwarding/CrashWatch.h
@@ -59,6 +59,9 @@
   bool StartTrial(const CrashKeys& aKeys,
                   const std::string& aRequestId,
                   size_t aHosts);
+  /// Whether a request that its upstream has broken off can be resumed at
+  /// another one without the risk that it crashes that too.
+  bool MayResume(const CrashKeys& aKeys) const;
 
 private:
   struct Check
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -387,7 +387,8 @@
   if (absl::IsAborted(aStatus)) {
     ReportBrokenOff();
   }
-  if (HasBackup()) {
+  bool mayResume = m_isSound || m_gateway.Crashes().MayResume(m_crashKeys);
+  if (HasBackup() && mayResume) {
     SwitchToBackup(std::string(aStatus.message()));
     return;
   }
--- a/unittests/Forwarding/CrashingPartTest.cpp
+++ b/unittests/Forwarding/CrashingPartTest.cpp
@@ -113,6 +113,15 @@
   CHECK(site.m_deaths == 2);
 }
 
+// Guards against a resume that crashes the engine with the backup too.
+TEST_CASE("a request with an unknown part that its engine broke off without an "
+          "event is not resumed at its backup")
+{
+  CrashSite site(true);
+  CHECK(site.Send("first:50,bad:50" + Unique(1)) == 0);
+  CHECK(site.m_deaths == 1);
+}
+
 // Guards against quarantine by connections that break while the engine lives.
 TEST_CASE("broken connections to an engine that is up quarantine nothing")
 {
