[Forwarding] Treat a stream that ends inside an event as broken off

Callers got a stream whose last event was cut and that ended as if it was complete.

Cause: a response with neither a length nor chunks ends with its connection, so a crash of its engine looks like its end; the bytes after the last whole event were passed on.

Change: a stream that ends after the beginning of an event is broken off: it is resumed at its backup, or its connection is closed without the final chunk. It counts as evidence of a crash, too.

--- a/include/persimmontally/Forwarding/EventSplitter.h
+++ b/include/persimmontally/Forwarding/EventSplitter.h
@@ -27,6 +27,11 @@
   void Restart();
   /// Bytes after the last complete event.
   const std::string& Remainder() const { return m_buffer; }
+  /// Whether a line follows the last complete event.
+  bool IsInsideEvent() const
+  {
+    return m_buffer.find_first_not_of("\r\n") != std::string::npos;
+  }
 
   /// Id of the last complete event; empty before the first one.
   const std::string& LastId() const { return m_lastId; }
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -366,13 +366,18 @@
 
 void ForwardFlow::OnStreamEnd(const absl::Status& aStatus)
 {
-  if (aStatus.ok()) {
+  // A response with neither a length nor chunks ends in this way if its engine
+  // crashes.
+  bool isBrokenOff = m_events.IsInsideEvent();
+  if (aStatus.ok() && !isBrokenOff) {
     ReportSound();
     m_writer->Write(m_events.Remainder());
     m_writer->Finish();
     Close(DispatchOutcome::Finished, "finished");
     return;
   }
+  std::string reason(aStatus.ok() ? "the stream ends inside an event"
+                                  : aStatus.message());
   m_events.Restart();
   if (m_liveCopy || m_resume) {
     // An engine closes the stream when it stops a generation for a migration.
@@ -384,15 +389,15 @@
     return;
   }
   RecordFailure(false);
-  if (absl::IsAborted(aStatus)) {
+  if (isBrokenOff || absl::IsAborted(aStatus)) {
     ReportBrokenOff();
   }
   bool mayResume = m_isSound || m_gateway.Crashes().MayResume(m_crashKeys);
   if (HasBackup() && mayResume) {
-    SwitchToBackup(std::string(aStatus.message()));
+    SwitchToBackup(reason);
     return;
   }
-  Interrupt(std::string(aStatus.message()));
+  Interrupt(reason);
 }
 
 // Failed attempts and their retries, the deadline, refusal and interruption.
