[State, Daemon] Keep the quarantine over a power loss of all hosts

Callers saw engines crash anew after all hosts had lost power, until the quarantine had formed a second time.

The file functions of the log store move to a file of their own.

--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -1,5 +1,7 @@
 #include "HostCore.h"
 
+#include "persimmontally/Routing/CrashEvidence.h"
+#include "persimmontally/State/PoisonStore.h"
 #include "persimmontally/Support/Crypto.h"
 #include "persimmontally/Support/Log.h"
 
@@ -18,6 +20,8 @@
 /// Time without a newer catalog that is known to exist after which that is
 /// logged; pulls are repeated each 200 ms.
 static constexpr Duration kCatalogBehindTime = seconds(1);
+/// Minimum time between two writes of the quarantined rows.
+static constexpr Duration kPoisonStorePeriod = milliseconds(500);
 /// Bytes of the IPv4 and UDP headers of a datagram, which the metrics of
 /// control traffic include.
 static constexpr uint64_t kDatagramOverheadBytes = 28;
@@ -102,9 +106,56 @@
   m_state = std::make_unique<StateService>(
     MakeStateOptions(m_settings), std::move(store), RandomSeed());
   m_membership.SetDisk(m_state->Disk(), m_state->Group());
+  RestorePoison();
   return absl::OkStatus();
 }
 
+void HostCore::RestorePoison()
+{
+  if (m_settings.m_dataDir.empty()) {
+    return;
+  }
+  auto rows = LoadPoisonRows(m_settings.m_dataDir);
+  if (!rows.ok()) {
+    WriteLog(LogLevel::Warning,
+             "poison_unreadable",
+             { { "reason", std::string(rows.status().message()) } });
+    return;
+  }
+  for (const PoisonRow& row : *rows) {
+    m_membership.ReportPoison(m_loop.Now(), row);
+  }
+  m_storedPoison = *std::move(rows);
+}
+
+void HostCore::StorePoison(Instant aNow)
+{
+  uint64_t version = m_membership.PoisonVersion();
+  bool isDue = version != m_storedPoisonVersion && aNow >= m_nextPoisonStore;
+  if (m_settings.m_dataDir.empty() || m_isDiskFailed || !isDue) {
+    return;
+  }
+  m_storedPoisonVersion = version;
+  m_nextPoisonStore = aNow + kPoisonStorePeriod;
+  std::vector<PoisonRow> rows;
+  for (const auto& [fingerprint, row] : m_membership.Poison()) {
+    if (row.m_strikes >= CrashEvidence::kQuarantineStrikes) {
+      rows.push_back(row);
+    }
+  }
+  if (rows == m_storedPoison) {
+    return;
+  }
+  absl::Status stored = StorePoisonRows(m_settings.m_dataDir, rows);
+  if (!stored.ok()) {
+    WriteLog(LogLevel::Warning,
+             "poison_not_stored",
+             { { "reason", std::string(stored.message()) } });
+    return;
+  }
+  m_storedPoison = std::move(rows);
+}
+
 absl::Status HostCore::Start(PeerHandler aHandler)
 {
   m_onMessage = std::move(aHandler);
@@ -201,6 +252,7 @@
   m_state->Tick(now);
   m_catalogSpread.Tick(now);
   CheckCatalogAge(now);
+  StorePoison(now);
   FlushCatalog();
   m_membership.SetDisk(m_state->Disk(), m_state->Group());
   FlushState();
--- a/lib/Daemon/HostCore.h
+++ b/lib/Daemon/HostCore.h
@@ -91,6 +91,9 @@
   void ReceiveCatalog(const CatalogUpdate& aUpdate);
   void FlushCatalog();
   void CheckCatalogAge(Instant aNow);
+  void RestorePoison();
+  /// Stores the quarantined rows if they have changed.
+  void StorePoison(Instant aNow);
   std::vector<StatePeer> StatePeers() const;
   std::vector<SpreadPeer> SpreadPeers() const;
 
@@ -104,6 +107,10 @@
   uint64_t m_statePeersVersion = 0;
   CatalogSpread m_catalogSpread;
   bool m_isCatalogBehind = false;
+  /// Version of the poison rows that were last compared with the stored ones.
+  uint64_t m_storedPoisonVersion = 0;
+  std::vector<PoisonRow> m_storedPoison;
+  Instant m_nextPoisonStore;
   std::unique_ptr<StateService> m_state;
   PeerHandler m_onMessage;
   std::function<void()> m_onControlTick;
--- a/lib/State/FileLogStore.cpp
+++ b/lib/State/FileLogStore.cpp
@@ -1,9 +1,10 @@
 #include "persimmontally/State/LogStore.h"
 
+#include "DurableFile.h"
+
 #include "persimmontally/Support/Crypto.h"
 #include "persimmontally/Wire/Codec.h"
 
-#include <cerrno>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -30,42 +31,6 @@
 
 namespace {
 
-/// Owns a file descriptor.
-class File
-{
-public:
-  File() = default;
-  explicit File(int aDescriptor)
-    : m_descriptor(aDescriptor)
-  {
-  }
-  ~File() { Reset(); }
-  File(File&& aOther) noexcept
-    : m_descriptor(std::exchange(aOther.m_descriptor, -1))
-  {
-  }
-  File& operator=(File&& aOther) noexcept
-  {
-    Reset();
-    m_descriptor = std::exchange(aOther.m_descriptor, -1);
-    return *this;
-  }
-
-  int Get() const { return m_descriptor; }
-  bool IsOpen() const { return m_descriptor >= 0; }
-
-private:
-  void Reset()
-  {
-    if (m_descriptor >= 0) {
-      ::close(m_descriptor);
-      m_descriptor = -1;
-    }
-  }
-
-  int m_descriptor = -1;
-};
-
 /// State replayed from the records of a log file.
 struct ReplayedLog
 {
@@ -76,83 +41,6 @@
 
 } // namespace
 
-/// Error of a failed system call, with the text of `errno`.
-static absl::Status IoError(const std::string& aOperation,
-                            const fs::path& aPath)
-{
-  return absl::UnavailableError(aOperation + " " + aPath.string() + ": " +
-                                std::strerror(errno));
-}
-
-static absl::Status WriteAll(int aDescriptor,
-                             std::string_view aData,
-                             const fs::path& aPath)
-{
-  while (!aData.empty()) {
-    ssize_t written = ::write(aDescriptor, aData.data(), aData.size());
-    if (written < 0) {
-      if (errno == EINTR) {
-        continue;
-      }
-      return IoError("write", aPath);
-    }
-    aData.remove_prefix(static_cast<size_t>(written));
-  }
-  return absl::OkStatus();
-}
-
-static absl::Status SyncFolder(const fs::path& aFolder)
-{
-  File folder(::open(aFolder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  if (!folder.IsOpen() || ::fsync(folder.Get()) != 0) {
-    return IoError("sync folder", aFolder);
-  }
-  return absl::OkStatus();
-}
-
-/// Replaces a file atomically and durably: after a crash it has either the old
-/// or the new content.
-static absl::Status ReplaceFile(const fs::path& aPath, std::string_view aData)
-{
-  fs::path temporary = aPath.string() + ".new";
-  File file(
-    ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-  if (!file.IsOpen()) {
-    return IoError("open", temporary);
-  }
-  absl::Status written = WriteAll(file.Get(), aData, temporary);
-  if (!written.ok()) {
-    return written;
-  }
-  if (::fsync(file.Get()) != 0) {
-    return IoError("sync", temporary);
-  }
-  if (::rename(temporary.c_str(), aPath.c_str()) != 0) {
-    return IoError("rename", temporary);
-  }
-  return SyncFolder(aPath.parent_path());
-}
-
-static absl::StatusOr<std::string> ReadFile(const fs::path& aPath)
-{
-  File file(::open(aPath.c_str(), O_RDONLY | O_CLOEXEC));
-  if (!file.IsOpen()) {
-    return IoError("open", aPath);
-  }
-  std::string data;
-  char buffer[65536];
-  for (;;) {
-    ssize_t got = ::read(file.Get(), buffer, sizeof buffer);
-    if (got < 0) {
-      return IoError("read", aPath);
-    }
-    if (got == 0) {
-      return data;
-    }
-    data.append(buffer, static_cast<size_t>(got));
-  }
-}
-
 static void AppendNumber(std::string& aOut, uint32_t aValue)
 {
   aOut.append(reinterpret_cast<const char*>(&aValue), sizeof aValue);
--- a/unittests/State/LogStoreTest.cpp
+++ b/unittests/State/LogStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "persimmontally/State/LogStore.h"
+#include "persimmontally/State/PoisonStore.h"
 
 #include <doctest/doctest.h>
 
@@ -145,3 +146,26 @@
   REQUIRE(first.ok());
   CHECK_FALSE(OpenFileLogStore(folder.Path()).ok());
 }
+
+// Guards against a quarantine that is lost when all hosts lose power.
+TEST_CASE("stored poison rows are read back, and damaged ones are reported")
+{
+  DataFolder folder;
+  REQUIRE(OpenFileLogStore(folder.Path()).ok());
+  auto rows = LoadPoisonRows(folder.Path());
+  REQUIRE(rows.ok());
+  CHECK(rows->empty());
+  PoisonRow row;
+  row.m_fingerprint = 7;
+  row.m_epoch = 2;
+  row.m_strikes = 4;
+  row.m_deaths = { "a/1", "b/1" };
+  for (size_t count : { 1U, 3U, 0U }) {
+    std::vector<PoisonRow> stored(count, row);
+    REQUIRE(StorePoisonRows(folder.Path(), stored).ok());
+    CHECK(LoadPoisonRows(folder.Path()).value() == stored);
+  }
+  REQUIRE(OpenFileLogStore(folder.Path()).ok());
+  folder.Write("poison", "damaged");
+  CHECK(absl::IsDataLoss(LoadPoisonRows(folder.Path()).status()));
+}
