[Platform] Test how the parts of a prompt are decoded

Cause: the parts decide what is quarantined, and come from callers.

Change: a table of headers: spaces, missing counts, empty entries, and more parts than are considered.

Measured: PlatformTests pass.

--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -141,6 +141,39 @@
   CHECK(request.m_expectedOutputTokens == 50);
 }
 
+TEST_CASE("the parts of a prompt are decoded in order")
+{
+  PlatformProtocol protocol;
+  std::string many;
+  for (int i = 0; i < 100; ++i) {
+    many += "a:1,";
+  }
+  struct Row
+  {
+    std::string m_header;
+    std::vector<std::string> m_parts;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+           { "5c1e07a2", "91bd3f06", "e4402b7d" } },
+         { "5c:800", { "5c" } },
+         { "5c:800, 91:1", { "5c", "91" } },
+         { "5c,91", { "5c", "91" } },
+         { ",,:5,5c:1,", { "5c" } },
+         { "", {} },
+         { many, std::vector<std::string>(64, "a") },
+       }) {
+    CAPTURE(row.m_header);
+    HttpRequest http = CallerRequest();
+    for (HttpHeader& header : http.m_headers) {
+      if (header.m_name == "Prefix-Hash") {
+        header.m_value = row.m_header;
+      }
+    }
+    CHECK(protocol.DecodeRequest(http).m_promptParts == row.m_parts);
+  }
+}
+
 TEST_CASE("malformed numbers in request headers count as absent")
 {
   PlatformProtocol protocol;
