[Forwarding] Resume an unframed stream that its engine stops for a migration

Callers would get a stream that ends as if it was complete, in the middle.

Cause: an engine closes a stream that it stops for a migration. A response with neither a length nor chunks ends with its connection, so that looks like its end.

Change: if such a stream ends while a migration runs, the result of the migration decides: it resumes if the engine has stopped it, and is complete if the engine had no such generation any more, which an answer without a handle now means. What a flow does about quarantine moves to a file of its own.

Measured: UnframedResponseTest, the stopped stream was passed on as complete without its last event before.

--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -78,6 +78,8 @@
   bool m_isNotRun = false;
   /// Whether another upstream has taken over the address.
   bool m_isMisdirected = false;
+  /// Whether the response has neither a length nor chunks.
+  bool m_endsWithConnection = false;
   /// Headers that are forwarded to the caller.
   HttpHeaders m_headers;
 };
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -3,7 +3,6 @@
 #include "CrashWatch.h"
 
 #include "persimmontally/Membership/Membership.h"
-#include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
@@ -22,19 +21,6 @@
 /// full.
 static constexpr Duration kRetryAfterRejected = milliseconds(100);
 
-static CrashKeys CrashKeysOf(const RoutedRequest& aRequest,
-                             const AccountId& aAccount)
-{
-  CrashKeys keys;
-  const std::vector<std::string>& parts = aRequest.m_promptParts;
-  for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    keys.m_parts.push_back(PromptPartKey(parts[i]));
-  }
-  keys.m_request = Fingerprint(
-    aAccount.Value(), aRequest.m_http.m_target, aRequest.m_http.m_body);
-  return keys;
-}
-
 ForwardFlow::ForwardFlow(ForwardGateway& aGateway,
                          RequestId aId,
                          RoutedRequest aRequest,
@@ -364,22 +350,31 @@
   });
 }
 
+void ForwardFlow::FinishStream()
+{
+  ReportSound();
+  m_writer->Write(m_events.Remainder());
+  m_writer->Finish();
+  Close(DispatchOutcome::Finished, "finished");
+}
+
 void ForwardFlow::OnStreamEnd(const absl::Status& aStatus)
 {
   // A response with neither a length nor chunks ends in this way if its engine
   // crashes.
   bool isBrokenOff = m_events.IsInsideEvent();
-  if (aStatus.ok() && !isBrokenOff) {
-    ReportSound();
-    m_writer->Write(m_events.Remainder());
-    m_writer->Finish();
-    Close(DispatchOutcome::Finished, "finished");
+  bool isMigrating = m_liveCopy || m_resume;
+  // It also ends like a complete one if its engine stops it for a migration.
+  m_isPerhapsComplete =
+    aStatus.ok() && !isBrokenOff && m_head.m_endsWithConnection && isMigrating;
+  if (aStatus.ok() && !isBrokenOff && !m_isPerhapsComplete) {
+    FinishStream();
     return;
   }
   std::string reason(aStatus.ok() ? "the stream ends inside an event"
                                   : aStatus.message());
   m_events.Restart();
-  if (m_liveCopy || m_resume) {
+  if (isMigrating) {
     // An engine closes the stream when it stops a generation for a migration.
     m_isSourceStreamEnded = true;
     m_state = State::Migrating;
@@ -402,67 +397,6 @@
 
 // Failed attempts and their retries, the deadline, refusal and interruption.
 
-void ForwardFlow::ReportSound()
-{
-  if (!std::exchange(m_isSound, true)) {
-    m_gateway.Crashes().OnSound(m_crashKeys);
-  }
-}
-
-void ForwardFlow::ReportBrokenOff()
-{
-  if (!m_isSound) {
-    bool hasBegun = m_state == State::Streaming;
-    m_gateway.Crashes().OnBrokenOff(m_upstream,
-                                    m_upstreamEndpoint,
-                                    m_request.m_id,
-                                    { m_crashKeys, hasBegun });
-  }
-}
-
-bool ForwardFlow::RefuseIfQuarantined()
-{
-  CrashWatch& crashes = m_gateway.Crashes();
-  if (m_isSound || m_isTrial || !crashes.IsQuarantined(m_crashKeys)) {
-    return false;
-  }
-  if (!m_wasSent) {
-    m_isTrial =
-      crashes.StartTrial(m_crashKeys, m_request.m_id, m_gateway.EntryHosts());
-  }
-  if (!m_isTrial) {
-    RefuseAsQuarantined();
-  }
-  return !m_isTrial;
-}
-
-void ForwardFlow::RefuseAsQuarantined()
-{
-  m_gateway.Counters().Add("quarantined_requests_total");
-  Duration left = m_gateway.Crashes().OnRefused(m_crashKeys, m_request.m_id);
-  if (m_wasSent) {
-    Refuse(RefusalBuilder(ErrorKind::UpstreamFailed,
-                          "requests like this one crash upstreams")
-             .AfterSend()
-             .Build());
-    return;
-  }
-  Refuse(RefusalBuilder(ErrorKind::Suspended,
-                        "requests like this one crash upstreams")
-           .WithRetryAfter(left)
-           .Build());
-}
-
-void ForwardFlow::EndIfQuarantined()
-{
-  bool isUnheard =
-    m_state == State::Queued || (m_state == State::Sent && IsGeneration());
-  if (isUnheard && !m_isTrial && !m_isSound &&
-      m_gateway.Crashes().IsQuarantined(m_crashKeys)) {
-    RefuseAsQuarantined();
-  }
-}
-
 void ForwardFlow::RecordFailure(bool aIsGone)
 {
   m_gateway.Placement().Local().RecordFailure(
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -103,10 +103,14 @@
   void OnData(std::string_view aData);
   void OnCallEnd(const absl::Status& aStatus);
   void OnStreamEnd(const absl::Status& aStatus);
+  /// Passes on the end of a complete stream.
+  void FinishStream();
   void OnResponseEnd();
   void ForwardEvents(std::string_view aData);
   void PauseUpstreamIfCallerIsSlow();
   void ReportProgress();
+  static CrashKeys CrashKeysOf(const RoutedRequest& aRequest,
+                               const AccountId& aAccount);
   /// Reports a request that the upstream has broken off to the crash watch,
   /// unless it is known to be sound.
   void ReportBrokenOff();
@@ -174,6 +178,9 @@
   std::optional<ResumePoint> m_resume;
   /// Whether the source engine has closed its stream.
   bool m_isSourceStreamEnded = false;
+  /// Whether that stream ended like a complete one, so that only the result of
+  /// the migration shows whether it was stopped.
+  bool m_isPerhapsComplete = false;
   Instant m_nextMigrationAt;
 
   Timer m_deadlineTimer;
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -176,7 +176,9 @@
   if (!aOutcome.m_isStopped) {
     m_rejectingTargets.insert(m_rescueCopy.m_upstream);
     ReleaseCopy(m_rescueCopy);
-    if (m_isSourceStreamEnded) {
+    if (m_isSourceStreamEnded && m_isPerhapsComplete) {
+      FinishStream();
+    } else if (m_isSourceStreamEnded) {
       Interrupt(
         "the engine closed the stream before the migration was complete");
     }
--- /dev/null
+++ b/lib/Forwarding/ForwardQuarantine.cpp
@@ -0,0 +1,85 @@
+// Requests that may crash their upstreams; see docs/design/placement.md.
+
+#include "CrashWatch.h"
+#include "ForwardFlow.h"
+
+#include "persimmontally/Routing/PoisonTable.h"
+#include "persimmontally/Support/Metrics.h"
+
+namespace persimmontally {
+
+CrashKeys ForwardFlow::CrashKeysOf(const RoutedRequest& aRequest,
+                                   const AccountId& aAccount)
+{
+  CrashKeys keys;
+  const std::vector<std::string>& parts = aRequest.m_promptParts;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    keys.m_parts.push_back(PromptPartKey(parts[i]));
+  }
+  keys.m_request = Fingerprint(
+    aAccount.Value(), aRequest.m_http.m_target, aRequest.m_http.m_body);
+  return keys;
+}
+
+void ForwardFlow::ReportSound()
+{
+  if (!std::exchange(m_isSound, true)) {
+    m_gateway.Crashes().OnSound(m_crashKeys);
+  }
+}
+
+void ForwardFlow::ReportBrokenOff()
+{
+  if (!m_isSound) {
+    bool hasBegun = m_state == State::Streaming;
+    m_gateway.Crashes().OnBrokenOff(m_upstream,
+                                    m_upstreamEndpoint,
+                                    m_request.m_id,
+                                    { m_crashKeys, hasBegun });
+  }
+}
+
+bool ForwardFlow::RefuseIfQuarantined()
+{
+  CrashWatch& crashes = m_gateway.Crashes();
+  if (m_isSound || m_isTrial || !crashes.IsQuarantined(m_crashKeys)) {
+    return false;
+  }
+  if (!m_wasSent) {
+    m_isTrial =
+      crashes.StartTrial(m_crashKeys, m_request.m_id, m_gateway.EntryHosts());
+  }
+  if (!m_isTrial) {
+    RefuseAsQuarantined();
+  }
+  return !m_isTrial;
+}
+
+void ForwardFlow::RefuseAsQuarantined()
+{
+  m_gateway.Counters().Add("quarantined_requests_total");
+  Duration left = m_gateway.Crashes().OnRefused(m_crashKeys, m_request.m_id);
+  if (m_wasSent) {
+    Refuse(RefusalBuilder(ErrorKind::UpstreamFailed,
+                          "requests like this one crash upstreams")
+             .AfterSend()
+             .Build());
+    return;
+  }
+  Refuse(RefusalBuilder(ErrorKind::Suspended,
+                        "requests like this one crash upstreams")
+           .WithRetryAfter(left)
+           .Build());
+}
+
+void ForwardFlow::EndIfQuarantined()
+{
+  bool isUnheard =
+    m_state == State::Queued || (m_state == State::Sent && IsGeneration());
+  if (isUnheard && !m_isTrial && !m_isSound &&
+      m_gateway.Crashes().IsQuarantined(m_crashKeys)) {
+    RefuseAsQuarantined();
+  }
+}
+
+} // namespace persimmontally
--- a/lib/Forwarding/LiveCopy.cpp
+++ b/lib/Forwarding/LiveCopy.cpp
@@ -72,7 +72,9 @@
     return;
   }
   m_isEnded = true;
-  m_callback({ answer.m_isCopied, m_isLast && !m_handle.empty(), m_handle });
+  // An engine that answers without a handle had no such generation to stop.
+  bool hasHandle = aStatus.ok() ? !answer.m_handle.empty() : !m_handle.empty();
+  m_callback({ answer.m_isCopied, m_isLast && hasHandle, m_handle });
 }
 
 void LiveCopy::FreeCopy()
--- a/unittests/Forwarding/RawUpstream.h
+++ b/unittests/Forwarding/RawUpstream.h
@@ -11,6 +11,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,8 @@
   Repeat,
   Close,
   Reset,
+  /// Keeps the connection open until `CloseHeld` is called.
+  Hold,
 };
 
 /// Upstream that answers each request with a prefix, in which `ID` stands for
@@ -65,7 +69,19 @@
   {
     return { "127.0.0.1", ntohs(m_address.sin_port) };
   }
+  /// Ends the connections that are held open.
+  void CloseHeld()
+  {
+    for (Connection& connection : m_connections) {
+      if (!connection.m_isEnded && connection.m_isAnswering) {
+        End(connection);
+      }
+    }
+  }
   size_t Requests() const { return m_requests; }
+  /// Called for each request; returns other bytes than the prefix to answer
+  /// with, or nothing.
+  std::function<std::optional<std::string>(std::string_view)> m_onRequest;
   size_t SentBytes() const { return m_sentBytes; }
   /// Whether the peer has closed every connection.
   bool IsClosed() const
@@ -105,12 +121,17 @@
     ssize_t got = ::recv(aConnection.m_socket, buffer, sizeof buffer, 0);
     if (got > 0 && !aConnection.m_isAnswering) {
       ++m_requests;
+      std::string_view request(buffer, static_cast<size_t>(got));
+      auto answer = m_onRequest ? m_onRequest(request) : std::nullopt;
+      aConnection.m_unsent = answer ? *answer : Prefix(request);
       aConnection.m_isAnswering = true;
-      aConnection.m_unsent = Prefix({ buffer, static_cast<size_t>(got) });
     }
     aConnection.m_isClosed = got == 0 || (got < 0 && errno != EAGAIN);
     constexpr int kWritesPerTick = 16;
     for (int i = 0; i < kWritesPerTick && aConnection.m_isAnswering; ++i) {
+      if (aConnection.m_unsent.empty() && m_end == RawEnd::Hold) {
+        return;
+      }
       if (aConnection.m_unsent.empty() && m_end != RawEnd::Repeat) {
         End(aConnection);
         return;
--- a/unittests/Forwarding/UnframedResponseTest.cpp
+++ b/unittests/Forwarding/UnframedResponseTest.cpp
@@ -79,3 +79,64 @@
     }
   }
 }
+
+// Guards against streams that end in the middle because their engine, which
+// stops them for a migration, ends them like complete ones.
+TEST_CASE(
+  "an unframed stream that its engine closes during a migration resumes "
+  "if it was stopped, and is complete if it was not")
+{
+  const std::string copied = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n"
+                             "{\"handle\":\"h1\"}";
+  struct Row
+  {
+    const char* m_name;
+    /// Response to the request that stops the generation for a migration.
+    std::string m_lastResponse;
+    std::string m_body;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "stopped", copied, Event(1) + Event(2) + Event(3) },
+         { "complete",
+           "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+           Event(1) + Event(2) } }) {
+    CAPTURE(std::string(row.m_name));
+    ForwardSite site(false);
+    RawUpstream source(site.Loop(),
+                       "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n"
+                       "Server-Stamp: s\r\n\r\n" +
+                         Event(1) + Event(2),
+                       "",
+                       RawEnd::Hold);
+    source.m_onRequest =
+      [&](std::string_view aRequest) -> std::optional<std::string> {
+      if (aRequest.find("kv-move") == std::string_view::npos) {
+        return std::nullopt;
+      }
+      bool isLast = aRequest.find("\"last\"") != std::string_view::npos;
+      if (isLast) {
+        source.CloseHeld();
+      }
+      return isLast ? row.m_lastResponse : copied;
+    };
+    site.AddUpstreamAt("source", "engines", source.Address());
+    auto call = site.Start("/stream/x",
+                           { { "X-Api-Key", "key" },
+                             { "Token-Count", "100,400" },
+                             { "Length-Hint", "400" } });
+    site.RunUntil([&] { return call->m_response.m_body.size() > 30; });
+    site.AddUpstream(
+      "target",
+      "engines",
+      [](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
+        CHECK(aRequest.Header("Last-Event-Id") == "2");
+        aWriter->StartStream(200, Genuine(aRequest));
+        aWriter->Write(Event(3));
+        aWriter->Finish();
+      });
+    site.SetState("source", UpstreamState::Leaving);
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_status.ok());
+    CHECK(call->m_response.m_body == row.m_body);
+  }
+}
