--- a/unittests/Routing/CrashEvidenceTest.cpp
+++ b/unittests/Routing/CrashEvidenceTest.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdlib>
 #include <functional>
 #include <memory>
 #include <random>
@@ -287,6 +288,13 @@
   std::optional<Instant> m_fifthDeathAt;
 };
 
+/// PERSIMMONTALLY_SEEDS sets the number of seeds.
+uint64_t SeedCount()
+{
+  const char* text = std::getenv("PERSIMMONTALLY_SEEDS");
+  return text == nullptr ? 40 : std::strtoull(text, nullptr, 10);
+}
+
 } // namespace
 
 // Guards against crashes without end, and against blame of the other parts.
@@ -335,7 +343,7 @@
     aRow.m_badPerSecond = 3;
   });
   for (const FleetOptions& row : rows) {
-    for (uint64_t seed = 1; seed <= 40; ++seed) {
+    for (uint64_t seed = 1; seed <= SeedCount(); ++seed) {
       CAPTURE(std::string(row.m_name));
       CAPTURE(seed);
       CrashFleet fleet(row, seed);
