[Routing] Start hosts with the saved retries of a large fleet

What users see: after a power loss of all of 294 hosts, up to 2,940 requests could be sent once more at once, where the saved retries of the fleet are bounded to 441.

Change: a host begins with 1.5 saved retries for each service, and earns more with its requests.

--- a/include/persimmontally/Routing/RetryBudget.h
+++ b/include/persimmontally/Routing/RetryBudget.h
@@ -47,7 +47,9 @@
 
 private:
   double m_maxSavedRetries = kMaxSavedRetries;
-  double m_savedRetries = kMaxSavedRetries;
+  /// A host that has just started may be one of many that do not know each
+  /// other yet.
+  double m_savedRetries = kMinSavedRetries;
   std::mt19937_64 m_random;
 };
 
