[Daemon] Try again to store the quarantine after a failed write

Cause: after a failed write the rows counted as stored until they changed again, so a disk that was full for a while kept none of them. Found by reading.

Change: a failed write is tried again after 5 s, also if nothing has changed.

--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration kCatalogBehindTime = seconds(1);
 /// Minimum time between two writes of the quarantined rows.
 static constexpr Duration kPoisonStorePeriod = milliseconds(500);
+/// Time until a failed write of them, as on a full disk, is tried again.
+static constexpr Duration kPoisonRetryPeriod = seconds(5);
 /// Bytes of the IPv4 and UDP headers of a datagram, which the metrics of
 /// control traffic include.
 static constexpr uint64_t kDatagramOverheadBytes = 28;
@@ -135,24 +137,24 @@
   if (m_settings.m_dataDir.empty() || m_isDiskFailed || !isDue) {
     return;
   }
-  m_storedPoisonVersion = version;
-  m_nextPoisonStore = aNow + kPoisonStorePeriod;
   std::vector<PoisonRow> rows;
   for (const auto& [fingerprint, row] : m_membership.Poison()) {
     if (row.m_strikes >= CrashEvidence::kQuarantineStrikes) {
       rows.push_back(row);
     }
   }
-  if (rows == m_storedPoison) {
-    return;
-  }
-  absl::Status stored = StorePoisonRows(m_settings.m_dataDir, rows);
+  absl::Status stored = rows == m_storedPoison
+                          ? absl::OkStatus()
+                          : StorePoisonRows(m_settings.m_dataDir, rows);
   if (!stored.ok()) {
+    m_nextPoisonStore = aNow + kPoisonRetryPeriod;
     WriteLog(LogLevel::Warning,
              "poison_not_stored",
              { { "reason", std::string(stored.message()) } });
     return;
   }
+  m_storedPoisonVersion = version;
+  m_nextPoisonStore = aNow + kPoisonStorePeriod;
   m_storedPoison = std::move(rows);
 }
 
