[Forwarding, Routing] Limit the first retries of a host on routes only

Change: the gateway of the routes passes the saved retries that a budget begins with; others begin with 10 as before.

--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -48,7 +48,8 @@
 
 RetryBudget& ForwardGateway::RetryBudgetOf(const std::string& aService)
 {
-  auto [at, isNew] = m_retryBudgets.try_emplace(aService, m_random());
+  auto [at, isNew] = m_retryBudgets.try_emplace(
+    aService, m_random(), RetryBudget::kMinSavedRetries);
   if (isNew) {
     at->second.SetHosts(m_entryHosts);
   }
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -502,3 +502,24 @@
   CHECK(reports == 1);
   engines.Finish();
 }
+
+// Guards against hosts that restart together and count as the only one each:
+// 294 of them may repeat 441 requests at once.
+TEST_CASE("a host that has just started repeats few requests")
+{
+  constexpr int kRequests = 8;
+  ForwardSite site;
+  int arrivals = 0;
+  for (const char* id : { "s1", "s2" }) {
+    site.AddUpstream(
+      id, "plain", [&](const HttpRequest& aRequest, const Writer& aWriter) {
+        ++arrivals;
+        aWriter->SendResponse({ 500, Genuine(aRequest), "x" });
+      });
+  }
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(site.Finish("/safe/x").m_status == 500);
+  }
+  double earned = kRequests * RetryBudget::kRetriesPerRequest;
+  CHECK(arrivals - kRequests <= RetryBudget::kMinSavedRetries + earned);
+}
