[Routing] Explain trials of quarantined requests where their constants are

Cause: the comment of the deciding delay referred to the wrong constant, and a trial was not defined.

Change: comments, and the order of two constants.

Measured: RoutingTests pass; no code changes.

--- a/include/persimmontally/Routing/CrashEvidence.h
+++ b/include/persimmontally/Routing/CrashEvidence.h
@@ -48,8 +48,8 @@
 /// upstreams ran when they died. A request that receives `kSoundEvents` events
 /// or a whole response proves that all of its parts are sound, and voids the
 /// evidence against them on all hosts. Parts with enough evidence are
-/// quarantined, until a single request that is let through as a trial succeeds.
-/// Trials become rarer while they fail.
+/// quarantined until a trial succeeds: a single request that is sent in spite
+/// of the quarantine. The time between trials grows with each that fails.
 ///
 /// Load pattern: one shared part of a prompt crashes every engine that begins
 /// to respond, in requests that are otherwise all different and reach any host;
@@ -70,20 +70,19 @@
   static constexpr uint32_t kQuarantineStrikesIfSound = 8;
   /// Events after which a request counts as sound.
   static constexpr uint32_t kSoundEvents = 4;
-  /// Time from the last evidence or trial until the next trial; grows by
-  /// `kTrialDelayFactor` with each death after the quarantine began, up to
-  /// `kMaxTrialDelay`. A trial may also end without a result.
+  /// Minimum time between two trials, and from the last evidence to a trial.
+  /// Grows by `kTrialDelayFactor` with each death after the quarantine began,
+  /// up to `kMaxTrialDelay`.
   static constexpr Duration kTrialDelay = seconds(20);
   static constexpr int kTrialDelayFactor = 4;
   static constexpr Duration kMaxTrialDelay = std::chrono::hours(1);
-  /// Number of hosts up to which the first request that reaches any of them
-  /// after a trial is due becomes the trial. In a larger fleet, so many of the
-  /// hosts do that, drawn at random, as more requests arrive before the others
-  /// are notified.
-  static constexpr size_t kTrialHosts = 30;
-  /// The same for a request that has one of two keys with the same deaths, so
-  /// that its trial shows which of them is to blame.
+  /// Replaces `kTrialDelay` for a request with only one of two keys that have
+  /// the same deaths: its result decides between the two.
   static constexpr Duration kDecidingTrialDelay = seconds(2);
+  /// Number of hosts that may start a trial which is due, drawn at random in a
+  /// larger fleet. Bounds the trials that start before the other hosts are
+  /// notified of the first.
+  static constexpr size_t kTrialHosts = 30;
   /// Number of sound parts that are remembered, those seen last.
   static constexpr size_t kMaxSoundParts = 4096;
 
