[Forwarding] Log how many strikes a death adds to a suspect

They now name the strikes added, 0 for a death that counts as one with the last. No change of logic.

--- a/lib/Forwarding/CrashWatch.cpp
+++ b/lib/Forwarding/CrashWatch.cpp
@@ -38,11 +38,15 @@
 
 void CrashWatch::Report(const std::vector<PoisonRow>& aRows, const char* aEvent)
 {
+  const auto& known = m_membership.Poison();
   for (const PoisonRow& row : aRows) {
+    auto at = known.find(row.m_fingerprint);
+    int64_t before = at == known.end() ? 0 : at->second.m_strikes;
     WriteLog(LogLevel::Info,
              aEvent,
              { { "fingerprint", row.m_fingerprint },
                { "strikes", row.m_strikes },
+               { "added", row.m_strikes - before },
                { "deaths", row.m_deaths.size() },
                { "trials", row.m_trials } });
     m_membership.ReportPoison(m_loop.Now(), row);
