--- a/unittests/Forwarding/ForwardSite.cpp
+++ b/unittests/Forwarding/ForwardSite.cpp
@@ -35,6 +35,7 @@
   catalog.m_routes = {
     MakeRoute("stream", Repeatability::Stream, "engines", 1),
     MakeRoute("safe", Repeatability::Idempotent, "plain", 2),
+    MakeRoute("whole", Repeatability::Idempotent, "engines", 2),
     MakeRoute("unsafe", Repeatability::AtMostOnce, "plain", 1),
   };
   catalog.m_routes.push_back(catalog.m_routes[1]);
