[Forwarding] Send a trial of a quarantined request to one upstream only

Callers of a plain service saw two of its three servers end 20 s after a quarantine had begun. A trial that crashed its upstream was exempt from the quarantine also when it was retried, so it was sent to the next upstream.

The exemption now ends when the upstream breaks the trial off. A new test, with a quarantine that is due for a trial: 2 upstreams ended before, 1 now, and the caller gets 502.

--- a/lib/Forwarding/ForwardQuarantine.cpp
+++ b/lib/Forwarding/ForwardQuarantine.cpp
@@ -34,6 +34,8 @@
   suspect.m_isWhole = !IsStream();
   suspect.m_isResent = std::exchange(m_wasBrokenOff, true);
   suspect.m_sentAt = m_sentAt;
+  // A trial is sent to one upstream only.
+  m_isTrial = false;
   m_gateway.Crashes().OnBrokenOff(m_upstream,
                                   m_upstreamEndpoint,
                                   m_request.m_id,
--- a/unittests/Forwarding/CrashingRequestTest.cpp
+++ b/unittests/Forwarding/CrashingRequestTest.cpp
@@ -2,6 +2,9 @@
 /// unchanged.
 
 #include "Forwarding/CrashSite.h"
+#include "persimmontally/Membership/Membership.h"
+#include "persimmontally/Routing/CrashEvidence.h"
+#include "persimmontally/Routing/PoisonTable.h"
 
 #include <doctest/doctest.h>
 
@@ -54,3 +57,19 @@
     }
   }
 }
+
+// Guards against a second upstream that ends under a trial.
+TEST_CASE("a trial of a quarantined request is not sent again when its "
+          "upstream dies")
+{
+  CrashSite site({ "plain", false, true, 0 });
+  PoisonRow row;
+  row.m_fingerprint = Fingerprint("t", "/safe/bad", "body");
+  row.m_strikes = CrashEvidence::kQuarantineStrikes;
+  row.m_deaths = { "a/1", "b/1" };
+  site.m_site.Gateway().Members().ReportPoison(
+    site.m_site.Loop().Now() - CrashEvidence::kTrialDelay, row);
+  CHECK(site.Send("/safe/bad", "") == 502);
+  CHECK(site.m_deaths == 1);
+  CHECK(site.Send("/safe/bad", "") == 503);
+}
