[Routing, Forwarding] Take four events of a stream as proof for its parts only

Four events now prove the parts of the prompt sound, which the engine has read by then. The request as a whole is sound once it is complete; if its engine dies before, that counts against it.

--- a/include/persimmontally/Routing/CrashEvidence.h
+++ b/include/persimmontally/Routing/CrashEvidence.h
@@ -71,10 +71,11 @@
 
 /// Finds out which requests crash upstreams, by what those have in common that
 /// upstreams ran when they died. A request that receives `kSoundEvents` events
-/// or a whole response proves that all of its parts are sound, and voids the
-/// evidence against them on all hosts. Parts with enough evidence are
-/// quarantined until a trial succeeds: a single request that is sent in spite
-/// of the quarantine. The time between trials grows with each that fails.
+/// proves that all of its parts are sound, and one that is complete also that
+/// it is sound as a whole; that voids the evidence against them on all hosts.
+/// Parts with enough evidence are quarantined until a trial succeeds: a single
+/// request that is sent in spite of the quarantine. The time between trials
+/// grows with each that fails.
 ///
 /// Load pattern: one shared part of a prompt crashes every engine that begins
 /// to respond, in requests that are otherwise all different and reach any host;
@@ -98,7 +99,7 @@
   /// The same for a part that any host has seen in a sound request, and for a
   /// request that was sound before.
   static constexpr uint32_t kQuarantineStrikesIfSound = 8;
-  /// Events after which a request counts as sound.
+  /// Events after which the parts of a request count as sound.
   static constexpr uint32_t kSoundEvents = 4;
   /// Minimum time between two trials, and from the last evidence to a trial.
   /// Grows by `kTrialDelayFactor` with each death after the quarantine began,
@@ -118,9 +119,12 @@
   static constexpr size_t kMaxSoundParts = 4096;
   static constexpr size_t kMaxSoundRequests = 1024;
 
-  /// Records that a request is sound. Returns the rows that become void.
+  /// Records that a request is complete. Returns the rows that become void.
   std::vector<PoisonRow> RecordSound(const PoisonView& aView,
                                      const CrashKeys& aKeys);
+  /// The same for the parts of a request that is not yet complete.
+  std::vector<PoisonRow> RecordSoundParts(const PoisonView& aView,
+                                          const std::vector<uint64_t>& aParts);
   /// Records the death of an upstream. Returns the rows that change.
   std::vector<PoisonRow> RecordDeath(
     Instant aNow,
--- a/lib/Forwarding/CrashWatch.cpp
+++ b/lib/Forwarding/CrashWatch.cpp
@@ -61,6 +61,11 @@
   Report(m_evidence.RecordSound(View(), aKeys), "suspicion_cleared");
 }
 
+void CrashWatch::OnSoundParts(const std::vector<uint64_t>& aParts)
+{
+  Report(m_evidence.RecordSoundParts(View(), aParts), "suspicion_cleared");
+}
+
 void CrashWatch::VouchForSoundParts(size_t aHosts)
 {
   const auto& rows = m_membership.Poison();
--- a/lib/Forwarding/CrashWatch.h
+++ b/lib/Forwarding/CrashWatch.h
@@ -34,17 +34,19 @@
     m_onReport = std::move(aAction);
   }
 
-  /// Called when an upstream breaks off a request before it is known to be
-  /// sound. Probes the upstream; if no process listens there any more, the
-  /// requests that it broke off until then are the suspects of its death.
-  /// `aOnProbed` is called with whether it has died.
+  /// Called when an upstream breaks off a request. Probes the upstream; if no
+  /// process listens there any more, the requests that it broke off until then
+  /// are the suspects of its death. `aOnProbed` is called with whether it has
+  /// died.
   void OnBrokenOff(const UpstreamId& aUpstream,
                    const Endpoint& aEndpoint,
                    const std::string& aRequestId,
                    CrashSuspect aSuspect,
                    std::function<void(bool)> aOnProbed);
-  /// Called once for each request that is known to be sound.
+  /// Called once for each request that is complete.
   void OnSound(const CrashKeys& aKeys);
+  /// Called once for each request whose parts are known to be sound.
+  void OnSoundParts(const std::vector<uint64_t>& aParts);
 
   /// Vouches for suspected parts that this host has seen in sound requests.
   /// Called when poison rows have changed. One of `aHosts` hosts is enough, so
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -281,7 +281,7 @@
       TryAgain("status " + std::to_string(m_head.m_status), true)) {
     return;
   }
-  ReportSound();
+  m_gateway.Crashes().OnSound(m_crashKeys);
   m_writer->SendResponse(
     { m_head.m_status, m_head.m_headers, std::move(m_body) });
   Close(DispatchOutcome::Finished,
@@ -318,7 +318,7 @@
     m_engineFirstEventAt = now;
   }
   if (m_events.Events() >= CrashEvidence::kSoundEvents) {
-    ReportSound();
+    ReportSoundParts();
   }
   ReportProgress();
   m_writer->Write(whole);
@@ -353,7 +353,7 @@
 
 void ForwardFlow::FinishStream()
 {
-  ReportSound();
+  m_gateway.Crashes().OnSound(m_crashKeys);
   m_writer->Write(m_events.Remainder());
   m_writer->Finish();
   Close(DispatchOutcome::Finished, "finished");
@@ -385,10 +385,11 @@
     return;
   }
   RecordFailure(false);
-  if ((isBrokenOff || absl::IsAborted(aStatus)) && !m_isSound) {
+  if (isBrokenOff || absl::IsAborted(aStatus)) {
     ReportBrokenOff([](bool) {});
   }
-  bool mayResume = m_isSound || m_gateway.Crashes().MayResume(m_crashKeys);
+  bool mayResume =
+    m_arePartsSound || m_gateway.Crashes().MayResume(m_crashKeys);
   if (HasBackup() && mayResume) {
     SwitchToBackup(reason);
     return;
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -117,8 +117,8 @@
   void ReportBrokenOff(std::function<void(bool)> aOnProbed);
   /// Handles a call that the upstream has broken off before its response.
   void OnBrokenOffBeforeHead(const std::string& aReason);
-  /// Records that the request is sound, once.
-  void ReportSound();
+  /// Records that the parts of the request are sound, once.
+  void ReportSoundParts();
   /// Refuses a request that crashes upstreams, unless this host lets it through
   /// as a trial. Returns whether it was refused.
   bool RefuseIfQuarantined();
@@ -148,7 +148,7 @@
   ForwardTarget m_target;
   std::shared_ptr<ResponseWriter> m_writer;
   CrashKeys m_crashKeys;
-  bool m_isSound = false;
+  bool m_arePartsSound = false;
   /// Whether an upstream has broken the request off.
   bool m_wasBrokenOff = false;
   /// Whether the request runs in spite of a quarantine.
--- a/lib/Forwarding/ForwardQuarantine.cpp
+++ b/lib/Forwarding/ForwardQuarantine.cpp
@@ -21,16 +21,19 @@
   return keys;
 }
 
-void ForwardFlow::ReportSound()
+void ForwardFlow::ReportSoundParts()
 {
-  if (!std::exchange(m_isSound, true)) {
-    m_gateway.Crashes().OnSound(m_crashKeys);
+  if (!std::exchange(m_arePartsSound, true)) {
+    m_gateway.Crashes().OnSoundParts(m_crashKeys.m_parts);
   }
 }
 
 void ForwardFlow::ReportBrokenOff(std::function<void(bool)> aOnProbed)
 {
   CrashSuspect suspect{ m_crashKeys, m_state == State::Streaming };
+  if (m_arePartsSound) {
+    suspect.m_keys.m_parts.clear();
+  }
   suspect.m_isWhole = !IsStream();
   suspect.m_isResent = std::exchange(m_wasBrokenOff, true);
   suspect.m_sentAt = m_sentAt;
@@ -60,7 +63,7 @@
 bool ForwardFlow::RefuseIfQuarantined()
 {
   CrashWatch& crashes = m_gateway.Crashes();
-  if (m_isSound || m_isTrial || !crashes.IsQuarantined(m_crashKeys)) {
+  if (m_arePartsSound || m_isTrial || !crashes.IsQuarantined(m_crashKeys)) {
     return false;
   }
   if (!m_wasSent) {
@@ -94,7 +97,7 @@
 {
   bool isUnheard =
     m_state == State::Queued || (m_state == State::Sent && IsGeneration());
-  if (isUnheard && !m_isTrial && !m_isSound &&
+  if (isUnheard && !m_isTrial && !m_arePartsSound &&
       m_gateway.Crashes().IsQuarantined(m_crashKeys)) {
     RefuseAsQuarantined();
   }
--- a/lib/Routing/CrashEvidence.cpp
+++ b/lib/Routing/CrashEvidence.cpp
@@ -43,26 +43,39 @@
   }
 }
 
+/// Appends the void row of a key if there is evidence against it.
+static void AddVoidRow(const PoisonView& aView,
+                       uint64_t aKey,
+                       std::vector<PoisonRow>& aChanged)
+{
+  auto at = aView.m_rows.find(aKey);
+  if (at == aView.m_rows.end() || at->second.m_strikes == 0) {
+    return;
+  }
+  PoisonRow row;
+  row.m_fingerprint = aKey;
+  row.m_epoch = at->second.m_epoch + 1;
+  row.m_isVouched = true;
+  aChanged.push_back(std::move(row));
+}
+
 std::vector<PoisonRow> CrashEvidence::RecordSound(const PoisonView& aView,
                                                   const CrashKeys& aKeys)
 {
-  for (uint64_t part : aKeys.m_parts) {
-    m_soundParts.Add(part);
-  }
+  std::vector<PoisonRow> changed = RecordSoundParts(aView, aKeys.m_parts);
   m_soundRequests.Add(aKeys.m_request);
-  std::vector<uint64_t> keys = aKeys.m_parts;
-  keys.push_back(aKeys.m_request);
+  AddVoidRow(aView, aKeys.m_request, changed);
+  return changed;
+}
+
+std::vector<PoisonRow> CrashEvidence::RecordSoundParts(
+  const PoisonView& aView,
+  const std::vector<uint64_t>& aParts)
+{
   std::vector<PoisonRow> changed;
-  for (uint64_t key : keys) {
-    auto at = aView.m_rows.find(key);
-    if (at == aView.m_rows.end() || at->second.m_strikes == 0) {
-      continue;
-    }
-    PoisonRow row;
-    row.m_fingerprint = key;
-    row.m_epoch = at->second.m_epoch + 1;
-    row.m_isVouched = true;
-    changed.push_back(std::move(row));
+  for (uint64_t part : aParts) {
+    m_soundParts.Add(part);
+    AddVoidRow(aView, part, changed);
   }
   return changed;
 }
