[Routing, Forwarding] Keep the evidence of crashes apart by service

The keys of parts and of requests now include the service. In a new test with two services, 4 engines of the one ended in 4 rounds before, 2 now, and the other service answers throughout. Rows that an older build has stored are kept but match no request, so a quarantine starts anew once after this upgrade.

--- a/include/persimmontally/Routing/CrashEvidence.h
+++ b/include/persimmontally/Routing/CrashEvidence.h
@@ -25,8 +25,14 @@
   bool operator==(const CrashKeys&) const = default;
 };
 
-/// Returns the key of a part of a prompt, the same on every host.
-uint64_t PromptPartKey(std::string_view aPart);
+/// Returns the key of a part of the prompts for a service, the same on every
+/// host.
+uint64_t PromptPartKey(std::string_view aService, std::string_view aPart);
+/// Returns the key of a request to a service as a whole.
+uint64_t RequestKey(std::string_view aService,
+                    std::string_view aAccount,
+                    std::string_view aTarget,
+                    std::string_view aBody);
 
 /// A request that an upstream was running when it died.
 struct CrashSuspect
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -31,7 +31,7 @@
   , m_request(std::move(aRequest))
   , m_target(std::move(aTarget))
   , m_writer(std::move(aWriter))
-  , m_crashKeys(CrashKeysOf(m_request, m_target.m_account))
+  , m_crashKeys(CrashKeysOf(m_request, m_target))
   , m_arrivedAt(aGateway.Loop().Now())
 {
   m_deadline = m_arrivedAt + m_target.m_route->m_timeout;
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -111,7 +111,7 @@
   void PauseUpstreamIfCallerIsSlow();
   void ReportProgress();
   static CrashKeys CrashKeysOf(const RoutedRequest& aRequest,
-                               const AccountId& aAccount);
+                               const ForwardTarget& aTarget);
   /// Reports a request that the upstream has broken off to the crash watch,
   /// which calls `aOnProbed` with whether the upstream has died.
   void ReportBrokenOff(std::function<void(bool)> aOnProbed);
--- a/lib/Forwarding/ForwardQuarantine.cpp
+++ b/lib/Forwarding/ForwardQuarantine.cpp
@@ -3,21 +3,23 @@
 #include "CrashWatch.h"
 #include "ForwardFlow.h"
 
-#include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/Support/Metrics.h"
 
 namespace persimmontally {
 
 CrashKeys ForwardFlow::CrashKeysOf(const RoutedRequest& aRequest,
-                                   const AccountId& aAccount)
+                                   const ForwardTarget& aTarget)
 {
+  const std::string& service = aTarget.m_service->m_name;
   CrashKeys keys;
   const std::vector<std::string>& parts = aRequest.m_promptParts;
   for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    keys.m_parts.push_back(PromptPartKey(parts[i]));
+    keys.m_parts.push_back(PromptPartKey(service, parts[i]));
   }
-  keys.m_request = Fingerprint(
-    aAccount.Value(), aRequest.m_http.m_target, aRequest.m_http.m_body);
+  keys.m_request = RequestKey(service,
+                              aTarget.m_account.Value(),
+                              aRequest.m_http.m_target,
+                              aRequest.m_http.m_body);
   return keys;
 }
 
--- a/lib/Routing/CrashEvidence.cpp
+++ b/lib/Routing/CrashEvidence.cpp
@@ -1,14 +1,24 @@
 #include "persimmontally/Routing/CrashEvidence.h"
 
+#include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/Support/Crypto.h"
 
 #include <algorithm>
 
 namespace persimmontally {
 
-uint64_t PromptPartKey(std::string_view aPart)
+uint64_t PromptPartKey(std::string_view aService, std::string_view aPart)
 {
-  return StableHash("part/" + std::string(aPart));
+  return StableHash("part/" + std::string(aService) + "/" + std::string(aPart));
+}
+
+uint64_t RequestKey(std::string_view aService,
+                    std::string_view aAccount,
+                    std::string_view aTarget,
+                    std::string_view aBody)
+{
+  std::string target = std::string(aService) + '\0' + std::string(aTarget);
+  return Fingerprint(aAccount, target, aBody);
 }
 
 static PoisonRow FindRow(const PoisonView& aView, uint64_t aKey)
--- a/unittests/Forwarding/CrashingRequestTest.cpp
+++ b/unittests/Forwarding/CrashingRequestTest.cpp
@@ -4,7 +4,6 @@
 #include "Forwarding/CrashSite.h"
 #include "persimmontally/Membership/Membership.h"
 #include "persimmontally/Routing/CrashEvidence.h"
-#include "persimmontally/Routing/PoisonTable.h"
 
 #include <doctest/doctest.h>
 
@@ -63,7 +62,7 @@
 {
   CrashSite site({ "plain", false, true, 0 });
   PoisonRow row;
-  row.m_fingerprint = Fingerprint("t", "/safe/bad", "body");
+  row.m_fingerprint = RequestKey("plain", "t", "/safe/bad", "body");
   row.m_strikes = CrashEvidence::kQuarantineStrikes;
   row.m_deaths = { "a/1", "b/1" };
   site.m_site.Gateway().Members().ReportPoison(
@@ -72,3 +71,25 @@
   CHECK(site.m_deaths == 1);
   CHECK(site.Send("/safe/bad", "") == 503);
 }
+
+// Guards against evidence that another service of the same prompts voids.
+TEST_CASE(
+  "a part that crashes the engines of one service is quarantined there, "
+  "and served by another service")
+{
+  CrashSite site({ "engines", false, false, 0 });
+  site.m_site.AddUpstream(
+    "o", "other", [](const HttpRequest& aRequest, const auto& aWriter) {
+      aWriter->SendResponse({ 200, Genuine(aRequest), "whole" });
+    });
+  constexpr int kRounds = 4;
+  for (int i = 0; i < kRounds; ++i) {
+    CAPTURE(i);
+    std::string path = "/x" + std::to_string(i);
+    std::string parts = "first:50,bad:50,own:50";
+    CHECK(site.Send("/stream" + path, parts) == (i < 2 ? 0 : 503));
+    CHECK(site.Send("/other" + path, parts) == 200);
+    site.Wait(CrashEvidence::kDeathSpacing);
+  }
+  CHECK(site.m_deaths == 2);
+}
