[Forwarding] Do not take an error response as proof that a request is sound

Only responses below 500 void it now. In a new test such a request ended 3 upstreams in 5 sends before, 2 now, and is refused from the fourth on.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -281,7 +281,10 @@
       TryAgain("status " + std::to_string(m_head.m_status), true)) {
     return;
   }
-  m_gateway.Crashes().OnSound(m_crashKeys);
+  // An upstream may report an error now and crash the next time.
+  if (m_head.m_status < kFirstServerError) {
+    m_gateway.Crashes().OnSound(m_crashKeys);
+  }
   m_writer->SendResponse(
     { m_head.m_status, m_head.m_headers, std::move(m_body) });
   Close(DispatchOutcome::Finished,
--- a/unittests/Forwarding/CrashSite.h
+++ b/unittests/Forwarding/CrashSite.h
@@ -16,6 +16,8 @@
   bool m_isWhole = false;
   /// Events of a stream before its engine dies.
   int m_eventsBeforeDeath = 0;
+  /// Whether every second bad request gets status 500 instead.
+  bool m_failsEverySecond = false;
 };
 
 /// A site whose upstreams die under requests with `bad` in their path or in a
@@ -83,6 +85,11 @@
       return;
     }
     if (m_options.m_isWhole) {
+      ++m_badRequests;
+      if (m_options.m_failsEverySecond && m_badRequests % 2 == 0) {
+        aWriter->SendResponse({ 500, Genuine(aRequest), "" });
+        return;
+      }
       Die(aUpstream, aWriter);
       return;
     }
@@ -115,6 +122,7 @@
 
   CrashSiteOptions m_options;
   int m_nextUpstream = 0;
+  int m_badRequests = 0;
 };
 
 } // namespace persimmontally
--- a/unittests/Forwarding/CrashingPartTest.cpp
+++ b/unittests/Forwarding/CrashingPartTest.cpp
@@ -42,7 +42,7 @@
 TEST_CASE("a request with an unknown part that its engine broke off without an "
           "event is not resumed at its backup")
 {
-  CrashSite site({ "engines", true, false, 0 });
+  CrashSite site({ "engines", true, false });
   CHECK(site.Send("/stream/x", "first:50,bad:50" + Unique(1)) == 0);
   CHECK(site.m_deaths == 1);
 }
--- a/unittests/Forwarding/CrashingRequestTest.cpp
+++ b/unittests/Forwarding/CrashingRequestTest.cpp
@@ -20,15 +20,13 @@
     CrashSiteOptions m_site;
   };
   for (const Row& row : std::vector<Row>{
-         { "plain, two attempts", "safe", { "plain", false, true, 0 } },
-         { "plain, one attempt", "unsafe", { "plain", false, true, 0 } },
-         { "whole response of an engine",
-           "whole",
-           { "engines", false, true, 0 } },
+         { "plain, two attempts", "safe", { "plain", false, true } },
+         { "plain, one attempt", "unsafe", { "plain", false, true } },
+         { "whole response of an engine", "whole", { "engines", false, true } },
          { "stream with parts that are sound",
            "stream",
-           { "engines", false, false, 0 } },
-         { "the same, with a backup", "stream", { "engines", true, false, 0 } },
+           { "engines", false, false } },
+         { "the same, with a backup", "stream", { "engines", true, false } },
          { "stream that ends its engine after several events",
            "stream",
            { "engines", false, false, 8 } },
@@ -60,7 +58,7 @@
 TEST_CASE("a trial of a quarantined request is not sent again when its "
           "upstream dies")
 {
-  CrashSite site({ "plain", false, true, 0 });
+  CrashSite site({ "plain", false, true });
   PoisonRow row;
   row.m_fingerprint = RequestKey("plain", "t", "/safe/bad", "body");
   row.m_strikes = CrashEvidence::kQuarantineStrikes;
@@ -77,7 +75,7 @@
   "a part that crashes the engines of one service is quarantined there, "
   "and served by another service")
 {
-  CrashSite site({ "engines", false, false, 0 });
+  CrashSite site({ "engines", false, false });
   site.m_site.AddUpstream(
     "o", "other", [](const HttpRequest& aRequest, const auto& aWriter) {
       aWriter->SendResponse({ 200, Genuine(aRequest), "whole" });
@@ -93,3 +91,17 @@
   }
   CHECK(site.m_deaths == 2);
 }
+
+// Guards against error responses that void the evidence of crashes.
+TEST_CASE("a request that gets an error response now and then is quarantined "
+          "after two deaths all the same")
+{
+  CrashSiteOptions options{ "plain", false, true, 0, true };
+  CrashSite site(options);
+  std::vector<int> statuses;
+  for (int i = 0; i < 5; ++i) {
+    statuses.push_back(site.Send("/unsafe/bad", ""));
+  }
+  CHECK(statuses == std::vector{ 502, 500, 502, 503, 503 });
+  CHECK(site.m_deaths == 2);
+}
