[Proxy] Quarantine service calls that crash upstreams

A call whose response is lost now waits until it is known whether its upstream has died, and is refused as quarantined once two have died under it, on any host, by the rows that completions use. It is also isolated after the first death, and a response below 500 clears it.

--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -1,6 +1,7 @@
 #include "ServiceFlow.h"
 
 #include "persimmontally/Membership/Membership.h"
+#include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/State/StateService.h"
 #include "persimmontally/Support/Crypto.h"
 #include "persimmontally/Support/Metrics.h"
@@ -35,6 +36,7 @@
   , m_bodyHash(Sha256Hex(m_call.m_request.m_method + "\n" +
                          m_call.m_request.m_target + "\n" +
                          m_call.m_request.m_body))
+  , m_fingerprint(Fingerprint(m_account.Value(), m_call.m_service, m_bodyHash))
   , m_arrivedAt(aGateway.Loop().Now())
 {
 }
@@ -185,8 +187,26 @@
 
 // Queueing, placement and the call to the upstream.
 
+bool ServiceFlow::RefuseIfQuarantined()
+{
+  if (JudgePoison(m_gateway.Members().Poison(), m_fingerprint) !=
+      PoisonVerdict::Quarantined) {
+    return false;
+  }
+  if (m_hasClaim) {
+    EndClaim(OrderState::Released, {});
+  }
+  RefusalBuilder refusal(ErrorKind::Quarantined,
+                         "upstreams died while running this call");
+  Refuse(m_wasSent ? refusal.AfterSend().Build() : refusal.Build());
+  return true;
+}
+
 void ServiceFlow::Enqueue()
 {
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   const GatewayOptions& options = m_gateway.Options();
   Instant now = m_gateway.Loop().Now();
   Ticket ticket;
@@ -195,6 +215,7 @@
   ticket.m_weight = m_weight;
   ticket.m_rank = m_call.m_rank;
   ticket.m_service = m_call.m_service;
+  ticket.m_fingerprint = m_fingerprint;
   ticket.m_promptTokens = 1;
   ticket.m_arrivedAt = m_arrivedAt;
   ticket.m_placeBy =
@@ -355,6 +376,16 @@
     RetryUnsent(std::string(aStatus.message()));
     return;
   }
+  m_gateway.CheckUpstream(
+    m_upstream, m_incarnation, m_fingerprint, [self](bool) {
+      if (!self->m_isClosed) {
+        self->OnResponseLost();
+      }
+    });
+}
+
+void ServiceFlow::OnResponseLost()
+{
   if (m_hasClaim) {
     EndClaim(OrderState::Unknown, {});
     Refuse(RefusalBuilder(ErrorKind::OutcomeUnknown,
@@ -380,6 +411,10 @@
 
 void ServiceFlow::Respond(const OrderAnswer& aAnswer, bool aIsReplay)
 {
+  constexpr int kFirstServerError = 500;
+  if (!aIsReplay && aAnswer.m_status < kFirstServerError) {
+    m_gateway.ClearSuspicion(m_fingerprint);
+  }
   HttpResponse response;
   response.m_status = aAnswer.m_status;
   response.m_body = aAnswer.m_body;
--- a/lib/Proxy/ServiceFlow.h
+++ b/lib/Proxy/ServiceFlow.h
@@ -53,6 +53,11 @@
   void Enqueue();
   void Send(const UpstreamEntry& aUpstream);
   void OnCallEnd(const absl::Status& aStatus, HttpResponse aResponse);
+  /// Handles a call that was sent and whose response is lost, once it is known
+  /// whether its upstream has died.
+  void OnResponseLost();
+  /// Refuses a call that crashes upstreams. Returns whether it was refused.
+  bool RefuseIfQuarantined();
   /// Retries a call of which nothing was sent on another upstream, or refuses
   /// it after the last attempt.
   void RetryUnsent(const std::string& aReason);
@@ -70,6 +75,7 @@
   std::shared_ptr<ResponseWriter> m_writer;
 
   std::string m_bodyHash;
+  uint64_t m_fingerprint;
   bool m_hasClaim = false;
   bool m_wasSent = false;
   bool m_isClosed = false;
--- a/unittests/Proxy/TestSite.cpp
+++ b/unittests/Proxy/TestSite.cpp
@@ -214,7 +214,8 @@
 
 void TestSite::Announce(const std::string& aId,
                         const Endpoint& aEndpoint,
-                        const std::string& aService)
+                        const std::string& aService,
+                        uint64_t aIncarnation)
 {
   json::object body{ { "address", ToString(aEndpoint) },
                      { "data_centre", "dc-0" },
@@ -224,7 +225,7 @@
                      { "service", aService },
                      { "slots", 8 },
                      { "kv_blocks", 1000 },
-                     { "incarnation", 1 },
+                     { "incarnation", aIncarnation },
                      { "sequence", m_nextSequence++ },
                      { "state", "serving" } };
   HttpRequest request;
--- a/unittests/Proxy/TestSite.h
+++ b/unittests/Proxy/TestSite.h
@@ -63,7 +63,8 @@
   /// named.
   void Announce(const std::string& aId,
                 const Endpoint& aEndpoint,
-                const std::string& aService = "");
+                const std::string& aService = "",
+                uint64_t aIncarnation = 1);
   /// Stores the first version of a list and waits until it is in force on each
   /// host.
   void PutList(const std::string& aList, const std::string& aJson);
