[Platform, Forwarding] Decode and log the rate limits that upstreams name

The end line of a request names the limit of its response, and two counters the responses. No change of logic.

A test decodes 14 responses, among them nan, inf, 1e308, 1e400, negative, doubled and another request's.

--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -80,6 +80,11 @@
   bool m_isMisdirected = false;
   /// Whether the response has neither a length nor chunks.
   bool m_endsWithConnection = false;
+  /// Requests per second that the upstream takes from all hosts together, if
+  /// the response names a limit.
+  std::optional<double> m_rateLimit;
+  /// Whether the response names a limit that cannot be read.
+  bool m_hasUnreadableLimit = false;
   /// Headers that are forwarded to the caller.
   HttpHeaders m_headers;
 };
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -205,6 +205,12 @@
 {
   m_head =
     m_gateway.Protocol().DecodeResponseHead(m_request, aStatus, aHeaders);
+  if (m_head.m_rateLimit) {
+    m_gateway.Counters().Add("responses_with_rate_limit_total");
+  }
+  if (m_head.m_hasUnreadableLimit) {
+    m_gateway.Counters().Add("unreadable_rate_limits_total");
+  }
   bool isStreamed = IsStream() && m_head.m_status == kOk && m_head.m_isGenuine;
   if (!isStreamed || m_state == State::Ended) {
     return;
@@ -586,6 +592,7 @@
              { "upstream", m_upstream.Value() },
              { "result", aResult },
              { "status", m_head.m_status },
+             { "rate_limit", m_head.m_rateLimit.value_or(-1) },
              { "events", m_events.Events() },
              { "moves", m_resumes },
              { "sent_after_ms",
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -279,6 +279,45 @@
   }
 }
 
+TEST_CASE("a rate limit is one header with a decimal number, in a response to "
+          "the request")
+{
+  PlatformProtocol protocol;
+  RoutedRequest request;
+  request.m_id = "r1";
+  struct Row
+  {
+    std::vector<const char*> m_values;
+    std::optional<double> m_limit;
+    bool m_isUnreadable = false;
+    const char* m_id = "r1";
+  };
+  for (const Row& row :
+       std::vector<Row>{ { {}, std::nullopt },
+                         { { "3.9" }, 3.9 },
+                         { { "0" }, 0.0 },
+                         { { "50" }, 50.0 },
+                         { { "3.9" }, std::nullopt, false, "r2" },
+                         { { "" }, std::nullopt, true },
+                         { { "-1" }, std::nullopt, true },
+                         { { "-0.0" }, std::nullopt, true },
+                         { { "nan" }, std::nullopt, true },
+                         { { "inf" }, std::nullopt, true },
+                         { { "1e308" }, std::nullopt, true },
+                         { { "1e400" }, std::nullopt, true },
+                         { { "3.9 per second" }, std::nullopt, true },
+                         { { "3.9", "3.9" }, std::nullopt, true } }) {
+    HttpHeaders headers = { { "Request-Id", row.m_id } };
+    for (const char* value : row.m_values) {
+      CAPTURE(value);
+      headers.push_back({ "Server-Limit", value });
+    }
+    ResponseHead head = protocol.DecodeResponseHead(request, 200, headers);
+    CHECK(head.m_rateLimit == row.m_limit);
+    CHECK(head.m_hasUnreadableLimit == row.m_isUnreadable);
+  }
+}
+
 TEST_CASE("only a refusal of a request that did not run has Retry-After")
 {
   PlatformProtocol protocol;
