[Net, Forwarding] Do not take the refusal of another request for this one's

Callers could be told 'not run, try again' of a request that an upstream had run or was running: a faulty upstream that wrote an earlier refusal once more on a kept connection was believed, since the statement that a request did not run was read without its id.

A refusal now proves something for the request with its id only; one without an id on a new connection, which no earlier request can have left it on, still does. A connection on which a response has another id or none is closed after it.

--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -74,7 +74,11 @@
   /// Whether the upstream itself vouches for the response, and the response
   /// belongs to the request.
   bool m_isGenuine = false;
-  /// Whether the upstream states that it did not run the request.
+  /// Whether the response has the id of the request, or none.
+  bool m_hasOwnId = false;
+  bool m_hasNoId = false;
+  /// Whether the upstream states that it did not run the request that the
+  /// response belongs to.
   bool m_isNotRun = false;
   /// Whether another upstream has taken over the address.
   bool m_isMisdirected = false;
--- a/include/persimmontally/Net/HttpClient.h
+++ b/include/persimmontally/Net/HttpClient.h
@@ -46,6 +46,11 @@
   /// blocks the server. No timeout applies while no read is pending.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
+  /// Whether the connection has carried an earlier request.
+  virtual bool IsReused() const = 0;
+  /// Closes the connection at the end of the response, so that no later
+  /// request finds bytes on it that belong to this one.
+  virtual void CloseAtEnd() = 0;
 };
 
 struct IdleConnections;
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -206,6 +206,14 @@
 {
   m_head =
     m_gateway.Protocol().DecodeResponseHead(m_request, aStatus, aHeaders);
+  // On a connection that is kept, a response without an id may be an earlier
+  // one, written once more.
+  bool isOwn = m_head.m_hasOwnId || (m_head.m_hasNoId && !m_call->IsReused());
+  m_head.m_isNotRun = m_head.m_isNotRun && isOwn;
+  m_head.m_isMisdirected = m_head.m_isMisdirected && isOwn;
+  if (!m_head.m_hasOwnId) {
+    m_call->CloseAtEnd();
+  }
   m_gateway.RecordRateLimit(m_upstream, m_upstreamIncarnation, m_head);
   bool isStreamed = IsStream() && m_head.m_status == kOk && m_head.m_isGenuine;
   if (!isStreamed || m_state == State::Ended) {
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -117,6 +117,7 @@
     if (m_idleConnections) {
       auto reused = m_idleConnections->Acquire(aServer);
       if (reused) {
+        m_isReused = true;
         m_stream.socket() = std::move(*reused);
         WriteRequest();
         return;
@@ -146,6 +147,10 @@
 
   void Pause() override { m_paused = true; }
 
+  bool IsReused() const override { return m_isReused; }
+
+  void CloseAtEnd() override { m_idleConnections.reset(); }
+
   void Resume() override
   {
     if (!m_paused) {
@@ -315,6 +320,7 @@
   http::response_parser<http::buffer_body> m_parser;
   std::array<char, kChunkBytes> m_chunk{};
   bool m_isHead = false;
+  bool m_isReused = false;
   bool m_ended = false;
   bool m_paused = false;
   bool m_readDeferred = false;
--- a/unittests/Forwarding/RawUpstream.h
+++ b/unittests/Forwarding/RawUpstream.h
@@ -27,6 +27,8 @@
   Reset,
   /// Keeps the connection open until `CloseHeld` is called.
   Hold,
+  /// Keeps the connection open for further requests.
+  KeepAlive,
 };
 
 /// Upstream that answers each request with a prefix, in which `ID` stands for
@@ -132,6 +134,10 @@
       if (aConnection.m_unsent.empty() && m_end == RawEnd::Hold) {
         return;
       }
+      if (aConnection.m_unsent.empty() && m_end == RawEnd::KeepAlive) {
+        aConnection.m_isAnswering = false;
+        return;
+      }
       if (aConnection.m_unsent.empty() && m_end != RawEnd::Repeat) {
         End(aConnection);
         return;
