[Forwarding] Test that a response which ends inside its head is a failure

Other operators saw a success with an empty body after an upstream had stopped in the middle of a head and closed. It cannot happen here: on a kept connection, with the head cut at every seventh byte, for plain, whole and streamed responses, the caller gets 502 in all cases. No change of code.

--- a/unittests/Forwarding/KeptConnectionTest.cpp
+++ b/unittests/Forwarding/KeptConnectionTest.cpp
@@ -88,3 +88,34 @@
   site.AddUpstreamAt("s", "plain", upstream.Address());
   CHECK(site.Finish("/unsafe/x").m_status == 503);
 }
+
+// Guards against a success without its body after a head that breaks off.
+TEST_CASE("a response that ends inside its head is a failure")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\n"
+                           "Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+  for (const char* path : { "/unsafe/x", "/stream/x", "/whole/x" }) {
+    for (size_t size = 1; size < head.size(); size += 7) {
+      CAPTURE(std::string(path));
+      CAPTURE(size);
+      ForwardSite site;
+      RawUpstream upstream(site.Loop(), "", "", RawEnd::KeepAlive);
+      upstream.m_onRequest =
+        [&](std::string_view aRequest) -> std::optional<std::string> {
+        std::string id = IdIn(aRequest);
+        return id == "r1" ? Success(id, "whole") : head.substr(0, size);
+      };
+      bool isPlain = std::string(path) == "/unsafe/x";
+      site.AddUpstreamAt(
+        "s", isPlain ? "plain" : "engines", upstream.Address());
+      site.Finish(path);
+      auto call = site.Start(path, { { "X-Api-Key", "key" } });
+      site.RunUntil([&] { return upstream.Requests() >= 2; });
+      site.RunUntil([&] {
+        upstream.CloseAll();
+        return call->m_isDone;
+      });
+      CHECK(call->m_response.m_status == 502);
+    }
+  }
+}
--- a/unittests/Forwarding/RawUpstream.h
+++ b/unittests/Forwarding/RawUpstream.h
@@ -80,6 +80,15 @@
       }
     }
   }
+  /// Ends all connections on which everything has been sent.
+  void CloseAll()
+  {
+    for (Connection& connection : m_connections) {
+      if (!connection.m_isEnded && connection.m_unsent.empty()) {
+        End(connection);
+      }
+    }
+  }
   size_t Requests() const { return m_requests; }
   /// Called for each request; returns other bytes than the prefix to answer
   /// with, or nothing.
