[Platform] Refuse announcements with port 0 or names that fit no datagram

Of thirteen odd announcements tested (nested 100,000 deep, numbers too large, ports out of range, fields twice, megabytes) none ended a process; three were accepted: port 0, and a service or a data centre with a name of a megabyte, which fits no datagram, so that the gossip of the row would fail on all hosts.

--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -365,7 +365,31 @@
          { "fractional sequence", changed("4,", "4.5,"), false },
          { "address without a port", changed(":8080", ""), false },
          { "address as a host name", changed("10.0.0.9", "host"), false },
-         { "service as a number", changed("\"e\"", "7"), false } }) {
+         { "service as a number", changed("\"e\"", "7"), false },
+         { "port above 65535", changed("8080", "65536"), false },
+         { "port 0", changed("8080", "0"), false },
+         { "no bytes of an address", changed("10.0.0.9", ""), false },
+         { "slots above 32 bits", changed("24", "4294967296"), false },
+         { "slots that no double holds", changed("24", "1e400"), false },
+         { "sequence above 64 bits", changed("4,", "1e400,"), false },
+         { "fields twice", changed("}", ",\"seq\":5}"), true },
+         { "an unknown field nested 100,000 deep",
+           changed("}",
+                   ",\"x\":" + std::string(100'000, '[') +
+                     std::string(100'000, ']') + "}"),
+           false },
+         { "nested 100,000 deep and cut off",
+           std::string(100'000, '{'),
+           false },
+         { "a service of a megabyte",
+           changed("\"e\"", "\"" + std::string(1'000'000, 'e') + "\""),
+           false },
+         { "a data centre of a megabyte",
+           changed("\"z\"", "\"" + std::string(1'000'000, 'z') + "\""),
+           false },
+         { "an unknown field of a megabyte",
+           changed("}", ",\"x\":\"" + std::string(1'000'000, 'x') + "\"}"),
+           true } }) {
     CAPTURE(row.m_name);
     HttpRequest http{ "PUT", "/persimmontally/instances/i-1", {}, row.m_body };
     ControlRequest request = protocol.DecodeControl(http);
