[Platform, Forwarding] Send nothing to an upstream that says in a response that it leaves

New on the users' pages, and read by no host: a server that leaves says so in all its answers (Server-Leaving: 1). Hosts that are out of touch with the list went on sending to it.

The host that gets such a response marks that incarnation of the upstream as leaving in the table and sends the row on as it does that of a leaving upstream's own announcement: no further request goes there, and generations are moved as with a notice.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -125,6 +125,9 @@
   void RecordRateLimit(const UpstreamId& aUpstream,
                        uint64_t aIncarnation,
                        const ResponseHead& aHead);
+  /// Records that an upstream has stated in a response that it is leaving, and
+  /// notifies the other hosts.
+  void RecordLeaving(const UpstreamId& aUpstream, uint64_t aIncarnation);
   /// Uses up a permit for a request that is sent without a placement.
   void UsePermit(const UpstreamId& aUpstream);
   void ReleaseFlow(const RequestId& aId);
@@ -182,6 +185,7 @@
   std::function<void()> m_onBusy;
   std::function<void(const LedgerUpdate&)> m_onLedger;
   std::function<void(const RateLimitSend&)> m_onRateLimits;
+  std::function<void()> m_onMembershipSends;
 };
 
 } // namespace persimmontally
--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -87,6 +87,8 @@
   /// Requests per second that the upstream takes from all hosts together, if
   /// the response names a limit.
   std::optional<double> m_rateLimit;
+  /// Whether the upstream states that it is leaving.
+  bool m_isLeaving = false;
   /// Whether the response names a limit that cannot be read.
   bool m_hasUnreadableLimit = false;
   /// Headers that are forwarded to the caller.
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -214,6 +214,9 @@
   if (!m_head.m_hasOwnId) {
     m_call->CloseAtEnd();
   }
+  if (m_head.m_isLeaving) {
+    m_gateway.RecordLeaving(m_upstream, m_upstreamIncarnation);
+  }
   m_gateway.RecordRateLimit(m_upstream, m_upstreamIncarnation, m_head);
   bool isStreamed = IsStream() && m_head.m_status == kOk && m_head.m_isGenuine;
   if (!isStreamed || m_state == State::Ended) {
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -319,6 +319,25 @@
   SendRateLimits();
 }
 
+void ForwardGateway::RecordLeaving(const UpstreamId& aUpstream,
+                                   uint64_t aIncarnation)
+{
+  const UpstreamEntry* entry = m_membership.Upstreams().Find(aUpstream);
+  if (entry == nullptr || entry->m_row.m_incarnation != aIncarnation ||
+      entry->m_row.m_state != UpstreamState::Serving) {
+    return;
+  }
+  WriteLog(
+    LogLevel::Info, "upstream_leaving", { { "upstream", aUpstream.Value() } });
+  m_metrics.Add("upstreams_leaving_by_response_total");
+  UpstreamRow row = entry->m_row;
+  row.m_state = UpstreamState::Leaving;
+  m_membership.Announce(m_loop.Now(), row);
+  if (m_onMembershipSends) {
+    m_onMembershipSends();
+  }
+}
+
 void ForwardGateway::UsePermit(const UpstreamId& aUpstream)
 {
   m_rateLimits.Use(m_loop.Now(), aUpstream);
@@ -326,6 +345,7 @@
 
 void ForwardGateway::OnMembershipSends(std::function<void()> aAction)
 {
+  m_onMembershipSends = aAction;
   m_crashWatch->OnReport(std::move(aAction));
 }
 
