[Platform, Routing] Send nothing to an upstream for as long as it has asked for

The host now stays away from that incarnation for this time and up to 0.5 s more, drawn at random, so that hosts return one after the other: its placements use other upstreams, and if all of a service have asked for a pause or are limited, requests are refused at once with a retry delay that is spread. Nothing is concluded about the upstream's health.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -125,6 +125,14 @@
   void RecordRateLimit(const UpstreamId& aUpstream,
                        uint64_t aIncarnation,
                        const ResponseHead& aHead);
+  /// Sends an upstream nothing for as long as it has asked this host to.
+  void HoldBack(const UpstreamId& aUpstream,
+                uint64_t aIncarnation,
+                Duration aTime);
+  /// Returns the retry delay suggested to the caller of a request that an
+  /// upstream has rejected for `aTime`, at least `aLeast`, so that callers do
+  /// not return together.
+  Duration RetryDelayAfter(Duration aTime, Duration aLeast);
   /// Records that an upstream has stated in a response that it is leaving, and
   /// notifies the other hosts.
   void RecordLeaving(const UpstreamId& aUpstream, uint64_t aIncarnation);
--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -87,6 +87,9 @@
   /// Requests per second that the upstream takes from all hosts together, if
   /// the response names a limit.
   std::optional<double> m_rateLimit;
+  /// How long the upstream wants no request from this host, if it rejects the
+  /// request and states a time.
+  std::optional<Duration> m_retryAfter;
   /// Whether the upstream states that it is leaving.
   bool m_isLeaving = false;
   /// Whether the response names a limit that cannot be read.
--- a/include/persimmontally/Routing/RateLimits.h
+++ b/include/persimmontally/Routing/RateLimits.h
@@ -55,6 +55,9 @@
   static constexpr Duration kMinRetryDelay = seconds(1);
   static constexpr Duration kMaxRetryDelay = seconds(30);
 
+  /// Longest time that a host stays away beyond what an upstream has asked for.
+  static constexpr Duration kMaxReturnSpread = milliseconds(500);
+
   RateLimits(HostId aSelf, uint64_t aSeed);
 
   /// Sets the entry hosts in reach, this one among them, and the number of all
@@ -66,6 +69,13 @@
                       const UpstreamId& aUpstream,
                       uint64_t aIncarnation,
                       std::optional<double> aPerSecond);
+  /// Sends an upstream nothing from this host for a time that it has asked for,
+  /// and a random part of `kMaxReturnSpread` more, so that hosts return one
+  /// after the other.
+  void HoldBack(Instant aNow,
+                const UpstreamId& aUpstream,
+                uint64_t aIncarnation,
+                Duration aTime);
   void Receive(Instant aNow,
                const HostId& aFrom,
                const RateLimitUpdate& aUpdate);
@@ -77,12 +87,14 @@
   /// Returns the limit of an upstream in requests per second, if it has one.
   std::optional<double> LimitOf(const UpstreamId& aUpstream,
                                 uint64_t aIncarnation) const;
-  /// Returns whether an upstream has no limit or this host holds a permit.
+  /// Returns whether this host is not held back from an upstream, and the
+  /// upstream has no limit or this host holds a permit.
   bool MaySend(Instant aNow,
                const UpstreamId& aUpstream,
                uint64_t aIncarnation) const;
-  /// Returns the retry delay for requests of a rank if the owner has denied
-  /// permits of an upstream; nothing while permits may be granted.
+  /// Returns the retry delay for requests of a rank if this host is held back
+  /// from an upstream or the owner has denied permits; nothing while permits
+  /// may be granted.
   std::optional<Duration> DeniedFor(Instant aNow,
                                     const UpstreamId& aUpstream,
                                     Rank aRank) const;
@@ -148,6 +160,13 @@
     Instant m_deniedAt;
   };
 
+  /// What one incarnation of an upstream has asked of this host alone.
+  struct HeldBack
+  {
+    uint64_t m_incarnation = 0;
+    Instant m_until;
+  };
+  const HeldBack* FindHeldBack(Instant aNow, const UpstreamId& aUpstream) const;
   HostId OwnerOf(const UpstreamId& aUpstream) const;
   double RateOf(const Limit& aLimit) const;
   bool Merge(Instant aNow, const RateLimitRow& aRow);
@@ -177,6 +196,7 @@
   std::set<HostId> m_reachable;
   size_t m_known = 1;
   std::map<UpstreamId, Limit> m_limits;
+  std::map<UpstreamId, HeldBack> m_heldBack;
   /// When tickets may ask for a permit again.
   std::map<RequestId, Instant> m_askedUntil;
   std::map<HostId, RateLimitUpdate> m_sends;
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -214,6 +214,9 @@
   if (!m_head.m_hasOwnId) {
     m_call->CloseAtEnd();
   }
+  if (m_head.m_retryAfter) {
+    m_gateway.HoldBack(m_upstream, m_upstreamIncarnation, *m_head.m_retryAfter);
+  }
   if (m_head.m_isLeaving) {
     m_gateway.RecordLeaving(m_upstream, m_upstreamIncarnation);
   }
@@ -481,7 +484,8 @@
     m_wasSent = m_sends > 1;
     Refusal refusal =
       RefusalBuilder(ErrorKind::Overloaded, "rejected by the upstream")
-        .WithRetryAfter(kRetryAfterRejected)
+        .WithRetryAfter(m_gateway.RetryDelayAfter(
+          m_head.m_retryAfter.value_or(Duration(0)), kRetryAfterRejected))
         .Build();
     if (m_wasSent) {
       // An earlier attempt may have run.
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -319,6 +319,23 @@
   SendRateLimits();
 }
 
+void ForwardGateway::HoldBack(const UpstreamId& aUpstream,
+                              uint64_t aIncarnation,
+                              Duration aTime)
+{
+  WriteLog(
+    LogLevel::Info,
+    "held_back",
+    { { "upstream", aUpstream.Value() }, { "for_ms", ToMilliseconds(aTime) } });
+  m_metrics.Add("upstreams_held_back_total");
+  m_rateLimits.HoldBack(m_loop.Now(), aUpstream, aIncarnation, aTime);
+}
+
+Duration ForwardGateway::RetryDelayAfter(Duration aTime, Duration aLeast)
+{
+  return aTime > aLeast ? m_rateLimits.SpreadRetryDelay(aTime) : aLeast;
+}
+
 void ForwardGateway::RecordLeaving(const UpstreamId& aUpstream,
                                    uint64_t aIncarnation)
 {
--- a/lib/Routing/RateLimits.cpp
+++ b/lib/Routing/RateLimits.cpp
@@ -153,14 +153,41 @@
 
 void RateLimits::Retain(const std::function<bool(const UpstreamId&)>& aIsKnown)
 {
-  std::erase_if(m_limits,
-                [&](const auto& aItem) { return !aIsKnown(aItem.first); });
+  auto isUnknown = [&](const auto& aItem) { return !aIsKnown(aItem.first); };
+  std::erase_if(m_limits, isUnknown);
+  std::erase_if(m_heldBack, isUnknown);
+}
+
+void RateLimits::HoldBack(Instant aNow,
+                          const UpstreamId& aUpstream,
+                          uint64_t aIncarnation,
+                          Duration aTime)
+{
+  std::uniform_int_distribution<Duration::rep> spread(0,
+                                                      kMaxReturnSpread.count());
+  HeldBack& held = m_heldBack[aUpstream];
+  Instant until = aNow + aTime + Duration(spread(m_random));
+  bool isSame = held.m_incarnation == aIncarnation;
+  held = { aIncarnation, isSame ? std::max(held.m_until, until) : until };
+}
+
+const RateLimits::HeldBack* RateLimits::FindHeldBack(
+  Instant aNow,
+  const UpstreamId& aUpstream) const
+{
+  auto at = m_heldBack.find(aUpstream);
+  bool isHeld = at != m_heldBack.end() && aNow < at->second.m_until;
+  return isHeld ? &at->second : nullptr;
 }
 
 bool RateLimits::MaySend(Instant aNow,
                          const UpstreamId& aUpstream,
                          uint64_t aIncarnation) const
 {
+  const HeldBack* held = FindHeldBack(aNow, aUpstream);
+  if (held != nullptr && held->m_incarnation == aIncarnation) {
+    return false;
+  }
   if (!IsLimited(aUpstream, aIncarnation)) {
     return true;
   }
@@ -223,6 +250,9 @@
                                               const UpstreamId& aUpstream,
                                               Rank aRank) const
 {
+  if (const HeldBack* held = FindHeldBack(aNow, aUpstream)) {
+    return std::max<Duration>(kMinRetryDelay, held->m_until - aNow);
+  }
   auto at = m_limits.find(aUpstream);
   if (at == m_limits.end() ||
       aNow >= at->second.m_deniedUntil[static_cast<size_t>(aRank)]) {
--- a/unittests/Forwarding/LeavingUpstreamTest.cpp
+++ b/unittests/Forwarding/LeavingUpstreamTest.cpp
@@ -61,6 +61,48 @@
   CHECK(other.m_requests == 5);
 }
 
+// Guards against requests to an upstream that has asked for a pause.
+TEST_CASE(
+  "an upstream that rejects a request with a retry delay gets no further "
+  "request for that time")
+{
+  ForwardSite site;
+  Upstream resting{ 503, { "Retry-After", "1.2" } };
+  Add(site, "resting", resting);
+  auto refused = site.Finish("/unsafe/x");
+  CHECK(refused.m_status == 503);
+  CHECK(std::stod(std::string(refused.Header("Retry-After"))) >= 0.6);
+  Instant restedAt = site.Loop().Now() + milliseconds(1200);
+  // No other upstream serves the route: refused at once, as not run.
+  Instant sentAt = site.Loop().Now();
+  refused = site.Finish("/unsafe/x");
+  CHECK(refused.m_status == 503);
+  CHECK(!refused.Header("Retry-After").empty());
+  CHECK(site.Loop().Now() - sentAt < milliseconds(300));
+  Upstream other;
+  Add(site, "other", other);
+  while (site.Loop().Now() < restedAt) {
+    CHECK(site.Finish("/safe/x").m_status == 200);
+    Instant next = site.Loop().Now() + milliseconds(50);
+    site.RunUntil([&] { return site.Loop().Now() >= next; });
+  }
+  CHECK(resting.m_requests == 1);
+}
+
+TEST_CASE("retry delays that cannot be read hold nothing back")
+{
+  for (const char* value : { "", "-1", "0", "nan", "1e308", "soon" }) {
+    CAPTURE(std::string(value));
+    ForwardSite site;
+    Upstream upstream{ 503, { "Retry-After", value } };
+    Add(site, "s", upstream);
+    for (int i = 0; i < 3; ++i) {
+      CHECK(site.Finish("/unsafe/x").m_status == 503);
+    }
+    CHECK(upstream.m_requests == 3);
+  }
+}
+
 TEST_CASE("other values than 1 do not make an upstream leave")
 {
   for (const char* value : { "", "0", "true", "11", "1, 1" }) {
