--- a/include/persimmontally/Routing/RateLimits.h
+++ b/include/persimmontally/Routing/RateLimits.h
@@ -45,7 +45,7 @@
   /// Time that a denial holds.
   static constexpr Duration kDenialLife = milliseconds(100);
   /// Rate, in requests per second, at which an upstream with a lower limit is
-  /// used all the same: only its responses tell when the limit ends.
+  /// used all the same, since only its responses show that the limit has ended.
   static constexpr double kMinRate = 0.25;
   /// Unused permits that an owner saves at most, and further ones by time, so
   /// that low limits are used although requests come at random.
--- a/include/persimmontally/Wire/RateLimitMessage.h
+++ b/include/persimmontally/Wire/RateLimitMessage.h
@@ -67,7 +67,7 @@
   }
 };
 
-/// Tells a host for how many requests it will get no permit.
+/// States for how many of its requests a host will get no permit.
 struct PermitDenial
 {
   uint64_t m_requestId = 0;
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -10,7 +10,6 @@
 
 namespace persimmontally {
 
-static constexpr int kOk = 200;
 static constexpr int kFirstErrorStatus = 300;
 static constexpr int kFirstServerError = 500;
 /// Minimum time before the deadline at which a request is still sent: a round
@@ -202,37 +201,6 @@
                  aEndpoint, std::move(request), timeouts, std::move(events));
 }
 
-void ForwardFlow::OnHead(int aStatus, const HttpHeaders& aHeaders)
-{
-  m_head =
-    m_gateway.Protocol().DecodeResponseHead(m_request, aStatus, aHeaders);
-  // On a connection that is kept, a response without an id may be an earlier
-  // one, written once more.
-  bool isOwn = m_head.m_hasOwnId || (m_head.m_hasNoId && !m_call->IsReused());
-  m_head.m_isNotRun = m_head.m_isNotRun && isOwn;
-  m_head.m_isMisdirected = m_head.m_isMisdirected && isOwn;
-  if (!m_head.m_hasOwnId) {
-    m_call->CloseAtEnd();
-  }
-  if (m_head.m_retryAfter) {
-    m_gateway.HoldBack(m_upstream, m_upstreamIncarnation, *m_head.m_retryAfter);
-  }
-  if (m_head.m_isLeaving) {
-    m_gateway.RecordLeaving(m_upstream, m_upstreamIncarnation);
-  }
-  m_gateway.RecordRateLimit(m_upstream, m_upstreamIncarnation, m_head);
-  bool isStreamed = IsStream() && m_head.m_status == kOk && m_head.m_isGenuine;
-  if (!isStreamed || m_state == State::Ended) {
-    return;
-  }
-  if (!m_hasStarted) {
-    m_hasStarted = true;
-    m_writer->StartStream(m_head.m_status, m_head.m_headers);
-  }
-  m_resume.reset();
-  m_state = State::Streaming;
-}
-
 void ForwardFlow::OnData(std::string_view aData)
 {
   if (m_state == State::Streaming) {
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -101,6 +101,8 @@
   void Send(const Endpoint& aEndpoint, std::optional<ResumePoint> aResume);
   HttpCallEvents MakeEvents();
   void OnHead(int aStatus, const HttpHeaders& aHeaders);
+  void CheckResponseId();
+  void RecordUpstreamStatements();
   void OnData(std::string_view aData);
   void OnCallEnd(const absl::Status& aStatus);
   void OnStreamEnd(const absl::Status& aStatus);
--- a/lib/Routing/RateLimits.cpp
+++ b/lib/Routing/RateLimits.cpp
@@ -76,7 +76,7 @@
   aLimit.m_waiting = {};
 }
 
-// News of limits.
+// Limits that responses and peers name.
 
 void RateLimits::RecordResponse(Instant aNow,
                                 const UpstreamId& aUpstream,
