[Forwarding] Do not refuse as not run a request that may have run before its retry

A repeatable request whose first attempt had run (status 500, or broken off) and whose retry found no upstream in time was refused with 503, which states that it has not run and never will.

The flow counts the sends after which the upstream has not stated that it did not run the request; with any, the refusal becomes 502, which promises nothing. A request that was only rejected as not run still gets 503. A new test: 503 after status 500 before, 502 now.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -152,6 +152,7 @@
   events.m_onSend = [self] {
     self->m_wasSent = true;
     ++self->m_sends;
+    ++self->m_unrejectedSends;
     self->m_sentAt = self->m_gateway.Loop().Now();
     self->m_state = State::Sent;
   };
@@ -444,6 +445,7 @@
 void ForwardFlow::OnRejected()
 {
   m_gateway.Counters().Add("turned_away_total");
+  --m_unrejectedSends;
   if (m_head.m_isMisdirected) {
     RecordFailure(true);
   }
@@ -515,7 +517,14 @@
     Interrupt(aRefusal.m_message);
     return;
   }
-  m_gateway.Refuse(*m_writer, aRefusal, m_request.m_id);
+  bool mayHaveRun = m_unrejectedSends > 0 && aRefusal.m_ran == Ran::No;
+  m_gateway.Refuse(
+    *m_writer,
+    mayHaveRun ? RefusalBuilder(ErrorKind::UpstreamFailed, aRefusal.m_message)
+                   .AfterSend()
+                   .Build()
+               : aRefusal,
+    m_request.m_id);
   Close(DispatchOutcome::Failed, "refused");
 }
 
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -162,6 +162,9 @@
   int m_sends = 0;
   int m_connects = 0;
   bool m_wasSent = false;
+  /// Sends after which the upstream has not stated that it did not run the
+  /// request.
+  int m_unrejectedSends = 0;
   /// Whether the head of a streamed response has been sent to the caller.
   bool m_hasStarted = false;
   std::set<UpstreamId> m_excluded;
--- a/unittests/Forwarding/LeavingUpstreamTest.cpp
+++ b/unittests/Forwarding/LeavingUpstreamTest.cpp
@@ -116,3 +116,30 @@
     CHECK(upstream.m_requests == 3);
   }
 }
+
+// Guards against a statement that a request did not run after it has.
+TEST_CASE("a request that has run and finds no upstream for its retry is not "
+          "refused as not run")
+{
+  struct Row
+  {
+    const char* m_name;
+    bool m_isRejected;
+    int m_status;
+  };
+  for (const Row& row : { Row{ "error response", false, 502 },
+                          Row{ "rejected as not run", true, 503 } }) {
+    CAPTURE(std::string(row.m_name));
+    ForwardSite site;
+    site.AddUpstream(
+      "s", "plain", [&](const HttpRequest& aRequest, const Writer& aWriter) {
+        HttpHeaders headers = Genuine(aRequest);
+        headers.push_back({ "Server-Leaving", "1" });
+        if (row.m_isRejected) {
+          headers.push_back({ "Not-Run", "1" });
+        }
+        aWriter->SendResponse({ row.m_isRejected ? 503 : 500, headers, "" });
+      });
+    CHECK(site.Finish("/safe/x").m_status == row.m_status);
+  }
+}
