--- a/unittests/Routing/CrashEvidenceTest.cpp
+++ b/unittests/Routing/CrashEvidenceTest.cpp
@@ -302,8 +302,9 @@
     engine.m_isUp = false;
     ++engine.m_incarnation;
     At(m_now + seconds(3), [&engine] { engine.m_isUp = true; });
-    for (auto& [id, request] : running) {
-      At(m_now + milliseconds(1), [this, request] { Retry(request); });
+    for (const auto& item : running) {
+      At(m_now + milliseconds(1),
+         [this, request = item.second] { Retry(request); });
     }
   }
 
--- a/unittests/Routing/RateLimitsTest.cpp
+++ b/unittests/Routing/RateLimitsTest.cpp
@@ -319,7 +319,7 @@
   for (size_t hosts : { 6, 24, 100, 300 }) {
     for (double limit : { 0.5, 3.4, 50.0 }) {
       for (double factor : { 0.5, 2.0, 20.0 }) {
-        bool isLong = hosts * factor * limit > 2500;
+        bool isLong = static_cast<double>(hosts) * factor * limit > 2500;
         if (isLong && SeedCount() == 1) {
           continue;
         }
