[Forwarding] Let the test of used-up limits wait for its last responses

The leak is the scripted upstream's, whose timer holds itself until it fires. The test now waits for them; its checks are unchanged.

--- a/unittests/Forwarding/RateLimitTest.cpp
+++ b/unittests/Forwarding/RateLimitTest.cpp
@@ -160,4 +160,8 @@
   // One permit in 250 ms, and a request that waits for each.
   CHECK(waiting <= 4);
   CHECK(delays.size() >= 20);
+  // Responses that are still due hold their connections.
+  for (const auto& call : calls) {
+    site.RunUntil([&] { return call->m_isDone; });
+  }
 }
