--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -18,6 +18,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -400,6 +401,7 @@
     std::string log = m_folder + "/" + aHost.m_name + ".log";
     pid_t pid = fork();
     if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this stand-in
       int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(fd, 1);
       dup2(fd, 2);
