[Forwarding] Break off a stream whose generation fails where it resumes

Cause: a response without events is buffered and sent as a whole, also if it answers a generation that resumes, whose caller has the head of a stream already. HttpServer took a whole response while a stream was open.

Now such a generation is interrupted, and HttpServer breaks off a response that is started a second time.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -266,6 +266,11 @@
       TryAgain("status " + std::to_string(m_head.m_status), true)) {
     return;
   }
+  if (m_hasStarted) {
+    Interrupt("the generation got status " + std::to_string(m_head.m_status) +
+              " when it was resumed");
+    return;
+  }
   // An upstream may report an error now and crash the next time.
   if (m_head.m_status < kFirstServerError) {
     m_gateway.Crashes().OnSound(m_crashKeys);
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -76,6 +76,7 @@
   void AppendHead(int aStatus,
                   const HttpHeaders& aHeaders,
                   std::string aLength);
+  bool StartResponse(uint64_t aExchange);
   void Flush();
   void CompleteExchange();
   void Close();
@@ -94,6 +95,7 @@
   bool m_isHead = false;
   bool m_isDiscardingInput = false;
   bool m_closed = false;
+  bool m_isResponseStarted = false;
   bool m_responseQueued = false;
   bool m_writeInProgress = false;
   bool m_inExchange = false;
@@ -230,6 +232,7 @@
   }
   ++m_exchange;
   m_inExchange = true;
+  m_isResponseStarted = false;
   m_keepAlive = false;
   Refusal refusal = RefusalBuilder(kind, aError.message()).Build();
   SendResponse(m_exchange,
@@ -253,6 +256,7 @@
   m_isHead = message.method() == http::verb::head;
   ++m_exchange;
   m_inExchange = true;
+  m_isResponseStarted = false;
   m_responseQueued = false;
   m_onDrained = nullptr;
   m_onClosed = nullptr;
@@ -298,9 +302,23 @@
     .append("\r\n");
 }
 
-void Connection::SendResponse(uint64_t aExchange, HttpResponse aResponse)
+/// Returns whether the response may start now. Breaks off a response that has
+/// already started: the caller would take a second head for part of its body.
+bool Connection::StartResponse(uint64_t aExchange)
 {
   if (!IsCurrent(aExchange) || !m_inExchange) {
+    return false;
+  }
+  if (std::exchange(m_isResponseStarted, true)) {
+    Abort(aExchange);
+    return false;
+  }
+  return true;
+}
+
+void Connection::SendResponse(uint64_t aExchange, HttpResponse aResponse)
+{
+  if (!StartResponse(aExchange)) {
     return;
   }
   AppendHead(aResponse.m_status,
@@ -318,7 +336,7 @@
                              int aStatus,
                              HttpHeaders aHeaders)
 {
-  if (!IsCurrent(aExchange) || !m_inExchange) {
+  if (!StartResponse(aExchange)) {
     return;
   }
   AppendHead(aStatus, aHeaders, "Transfer-Encoding: chunked\r\n");
--- a/unittests/Net/HttpTest.cpp
+++ b/unittests/Net/HttpTest.cpp
@@ -136,6 +136,49 @@
   CHECK(caller.m_received.starts_with("HTTP/1.1 413"));
 }
 
+// Guards against a second head inside the body of a response.
+TEST_CASE("a response that is started twice is broken off")
+{
+  using Writer = std::shared_ptr<ResponseWriter>;
+  struct Row
+  {
+    const char* m_name;
+    std::function<void(const Writer&)> m_second;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "a whole response after the start of a stream",
+           [](const Writer& aWriter) {
+             aWriter->SendResponse({ 500, {}, "failed" });
+           } },
+         { "a second start of a stream",
+           [](const Writer& aWriter) { aWriter->StartStream(200, {}); } },
+       }) {
+    CAPTURE(std::string(row.m_name));
+    EventLoop loop;
+    Writer writer;
+    HttpServer server(
+      loop, HttpLimits(), [&](const auto&, const Writer& aWriter) {
+        writer = aWriter;
+        writer->StartStream(200, {});
+        writer->Write("part");
+      });
+    auto port = server.Listen({ "127.0.0.1", 0 });
+    REQUIRE(port.ok());
+    RawCaller caller(*port);
+    caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    RunUntil(loop, [&] {
+      caller.Read();
+      return caller.m_received.ends_with("part\r\n");
+    });
+    row.m_second(writer);
+    RunUntil(loop, [&] {
+      caller.Read();
+      return caller.m_isClosed;
+    });
+    CHECK(caller.m_received.ends_with("part\r\n"));
+  }
+}
+
 TEST_CASE(
   "a connection closes after its next response once keep-alive is disabled")
 {
