[Net] Send no body in a streamed response to a HEAD request

A HEAD request on a route of streams got the chunks of a body after its head, which the caller takes for the next response on the connection. Found by reading, while looking for other paths that write into a response that has none or has one already. The new test failed before: the body was there.

--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -345,7 +345,7 @@
 
 void Connection::Write(uint64_t aExchange, std::string_view aData)
 {
-  if (!IsCurrent(aExchange) || aData.empty()) {
+  if (!IsCurrent(aExchange) || aData.empty() || m_isHead) {
     return;
   }
   char size[24];
@@ -359,7 +359,7 @@
   if (!IsCurrent(aExchange) || m_responseQueued) {
     return;
   }
-  m_pendingOutput.append("0\r\n\r\n");
+  m_pendingOutput.append(m_isHead ? "" : "0\r\n\r\n");
   m_responseQueued = true;
   Flush();
 }
--- a/unittests/Net/HttpTest.cpp
+++ b/unittests/Net/HttpTest.cpp
@@ -179,6 +179,29 @@
   }
 }
 
+// Guards against bytes that the caller takes for the next response.
+TEST_CASE("a streamed response to a HEAD request has no body")
+{
+  EventLoop loop;
+  HttpServer server(loop, HttpLimits(), [](const auto&, const auto& aWriter) {
+    aWriter->StartStream(200, {});
+    aWriter->Write("part");
+    aWriter->Finish();
+  });
+  auto port = server.Listen({ "127.0.0.1", 0 });
+  REQUIRE(port.ok());
+  RawCaller caller(*port);
+  caller.Send("HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  RunUntil(loop, [&] {
+    caller.Read();
+    return caller.m_isClosed;
+  });
+  CHECK(caller.m_received.starts_with("HTTP/1.1 200"));
+  CHECK(caller.m_received.ends_with("\r\n\r\n"));
+  CHECK(caller.m_received.find("part") == std::string::npos);
+  CHECK(caller.m_received.find("0\r\n\r\n") == std::string::npos);
+}
+
 TEST_CASE(
   "a connection closes after its next response once keep-alive is disabled")
 {
