[Forwarding] Resume a generation at its backup only after its engine has ended it

Cause: at the notice the entry host closed the connection to the engine and resumed the generation at its backup at once. Not all engines stop a request whose connection closes.

Now a generation with a backup stays until its engine ends the stream; those that end within the notice do not move at all. The announced end of an engine is no sign of a crash, and a stream with neither a length nor chunks that ends with it is resumed unless the engine has dropped the backup. The row of ForwardTest for a reclaimed engine demanded the resume at the notice; it now demands that none comes before the engine ends, and the same stream.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -138,6 +138,7 @@
   m_state = State::Placed;
   m_upstreamEndpoint = entry->m_row.m_endpoint;
   m_upstreamIncarnation = entry->m_row.m_incarnation;
+  m_leavingSince.reset();
   ++m_connects;
   AssignBackup();
   Send(m_upstreamEndpoint, std::nullopt);
@@ -307,9 +308,6 @@
     }
   }
   m_lastEventAt = now;
-  if (m_engineFirstEventAt == Instant()) {
-    m_engineFirstEventAt = now;
-  }
   if (m_events.Events() >= CrashEvidence::kSoundEvents) {
     ReportSoundParts();
   }
@@ -358,14 +356,17 @@
   // crashes.
   bool isBrokenOff = m_events.IsInsideEvent();
   bool isMigrating = m_liveCopy || m_resume;
-  // It also ends like a complete one if its engine stops it for a migration.
-  m_isPerhapsComplete =
-    aStatus.ok() && !isBrokenOff && m_head.m_endsWithConnection && isMigrating;
+  bool isLeaving = IsEndAnnounced();
+  // It also ends like a complete one if its engine stops it for a migration,
+  // or is reclaimed.
+  m_isPerhapsComplete = aStatus.ok() && !isBrokenOff &&
+                        m_head.m_endsWithConnection &&
+                        (isMigrating || (isLeaving && HasBackup()));
   if (aStatus.ok() && !isBrokenOff && !m_isPerhapsComplete) {
     FinishStream();
     return;
   }
-  std::string reason(aStatus.ok() ? "the stream ends inside an event"
+  std::string reason(aStatus.ok() ? "the stream ends without a length"
                                   : aStatus.message());
   m_events.Restart();
   if (isMigrating) {
@@ -378,10 +379,13 @@
     return;
   }
   RecordFailure(false);
+  // The announced end of an engine is no sign that a request crashes engines.
+  bool isExpected = isLeaving && m_arePartsSound;
   const CrashWatch& crashes = m_gateway.Crashes();
-  bool mayResume = !m_mayCrash && !crashes.IsSuspect(m_crashKeys) &&
-                   (m_arePartsSound || crashes.MayResume(m_crashKeys));
-  if (isBrokenOff || absl::IsAborted(aStatus)) {
+  bool mayResume =
+    isExpected || (!m_mayCrash && !crashes.IsSuspect(m_crashKeys) &&
+                   (m_arePartsSound || crashes.MayResume(m_crashKeys)));
+  if (!isExpected && (isBrokenOff || absl::IsAborted(aStatus))) {
     m_mayCrash = true;
     ReportBrokenOff([self = shared_from_this()](bool aIsDead) {
       self->m_mayCrash = aIsDead;
@@ -451,6 +455,11 @@
 {
   m_gateway.Counters().Add("turned_away_total");
   --m_unrejectedSends;
+  if (m_isPerhapsComplete && !m_liveCopy) {
+    // The engine drops the backup of a generation that has ended.
+    FinishStream();
+    return;
+  }
   if (m_head.m_isMisdirected) {
     RecordFailure(true);
   }
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -44,19 +44,19 @@
   /// it is now known to crash upstreams.
   void EndIfQuarantined();
 
-  /// Whether the generation can be migrated now and is long enough to be.
+  /// Whether the generation can be migrated by a rescue copy now and is long
+  /// enough to be. One with a backup stays until its engine ends.
   bool CanMigrate() const;
   const UpstreamId& Upstream() const { return m_upstream; }
   const RequestId& LedgerId() const { return m_ledgerId; }
   const ServiceSpec& Service() const { return *m_target.m_service; }
-  /// Migrates the generation off an upstream that is being reclaimed: to its
-  /// backup if it has one, otherwise by a rescue copy.
-  void MigrateOffUpstream();
+  /// Migrates the generation off an engine that is being reclaimed.
+  void StartMigration();
+  /// Records that the upstream has announced its end.
+  void OnUpstreamLeaving();
   /// Whether the generation has a backup, perhaps still in transfer, on an
   /// engine that is not being reclaimed.
   bool HasBackup() const;
-  /// Whether enough time has passed for the backup's transfer to be complete.
-  bool IsBackupComplete() const;
 
 private:
   /// A copy of the generation's KV memory on another engine, complete or in
@@ -132,8 +132,8 @@
   bool TryAgain(const std::string& aReason, bool aNeedsBudget);
   Copy ReserveCopy(CopyPurpose aPurpose, double aMaxUse);
   void ReleaseCopy(Copy& aCopy);
+  bool IsEndAnnounced() const;
   void SwitchToBackup(const std::string& aReason);
-  void StartMigration();
   void OnMigrationEnd(const LiveCopy::Outcome& aOutcome);
   void ResumeAt(Copy aCopy);
   void CancelMigration();
@@ -191,10 +191,12 @@
   std::optional<ResumePoint> m_resume;
   /// Whether the source engine has closed its stream.
   bool m_isSourceStreamEnded = false;
-  /// Whether that stream ended like a complete one, so that only the result of
-  /// the migration shows whether it was stopped.
+  /// Whether the stream ended like a complete one, so that only the result of
+  /// the migration or of the resume shows whether it is.
   bool m_isPerhapsComplete = false;
   Instant m_nextMigrationAt;
+  /// When the end of the current upstream was first known, if it is.
+  std::optional<Instant> m_leavingSince;
 
   Timer m_deadlineTimer;
   Instant m_arrivedAt;
@@ -204,8 +206,6 @@
   Instant m_lastEventAt;
   Duration m_longestPause{ 0 };
   uint32_t m_eventsBeforeLongestPause = 0;
-  /// When the current engine sent its first event.
-  Instant m_engineFirstEventAt;
 };
 
 } // namespace persimmontally
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -407,8 +407,8 @@
   m_placement.ForgetHost(m_loop.Now(), aHost);
 }
 
-/// Migrates generations off upstreams that are being reclaimed: those with a
-/// backup at once, the others one after another.
+/// Migrates the generations without a backup off upstreams that are being
+/// reclaimed, one after another.
 void ForwardGateway::StartDueMigrations()
 {
   Instant now = m_loop.Now();
@@ -429,18 +429,21 @@
     if (!m_migrationSchedule->IsLeaving(flow->Upstream())) {
       continue;
     }
+    flow->OnUpstreamLeaving();
+    if (flow->HasBackup()) {
+      continue;
+    }
     m_hasFlowsOnLeavingUpstreams = true;
     if (flow->CanMigrate()) {
       candidates.push_back(flow);
     }
   }
   for (const auto& flow : candidates) {
-    if (flow->HasBackup() ||
-        m_migrationSchedule->IsDue(now,
+    if (m_migrationSchedule->IsDue(now,
                                    flow->Upstream(),
                                    flow->LedgerId().Value(),
                                    m_placement.RowsOn(flow->Upstream()))) {
-      flow->MigrateOffUpstream();
+      flow->StartMigration();
     }
   }
 }
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -14,9 +14,8 @@
 /// Delay before a migration is retried, if no engine had free memory or the
 /// generation had not yet started at the source.
 static constexpr Duration kMigrationRetryDelay = milliseconds(40);
-/// Time from the first token until the KV memory of the prompt is assumed to be
-/// in the backup: a copy takes 0.3 s and may queue behind others on the link.
-static constexpr Duration kBackupTransferTime = milliseconds(700);
+/// Engines are reclaimed a second or more after their notice.
+static constexpr Duration kShortestNotice = milliseconds(500);
 /// Fraction of an engine's memory in use above which it is not chosen for a
 /// backup. Above it, free memory is more valuable for new requests and for
 /// rescue copies of generations whose engine is being reclaimed. Without
@@ -106,36 +105,32 @@
                                  m_request.m_maxOutputTokens,
                                  TokensSoFar() });
   bool isMigrating = m_liveCopy || m_resume;
-  return m_state == State::Streaming && (canMove || HasBackup()) &&
-         !isMigrating && isLong && (!HasBackup() || IsBackupComplete()) &&
-         m_gateway.Loop().Now() >= m_nextMigrationAt;
+  return m_state == State::Streaming && canMove && !HasBackup() &&
+         !isMigrating && isLong && m_gateway.Loop().Now() >= m_nextMigrationAt;
 }
 
-bool ForwardFlow::IsBackupComplete() const
+void ForwardFlow::OnUpstreamLeaving()
 {
-  return HasBackup() && m_engineFirstEventAt != Instant() &&
-         m_gateway.Loop().Now() >= m_engineFirstEventAt + kBackupTransferTime;
+  if (!m_leavingSince) {
+    m_leavingSince = m_gateway.Loop().Now();
+  }
 }
 
-void ForwardFlow::MigrateOffUpstream()
+/// Returns whether the current engine announced its end early enough that a
+/// stream which breaks off now is not the sign of a crash.
+bool ForwardFlow::IsEndAnnounced() const
 {
-  if (HasBackup()) {
-    SwitchToBackup("the engine is being reclaimed");
-  } else {
-    StartMigration();
-  }
+  return m_leavingSince &&
+         m_gateway.Loop().Now() >= *m_leavingSince + kShortestNotice;
 }
 
 // Migration to the backup.
 
+/// Resumes a generation at its backup after its engine has ended the stream.
+/// Closing the connection instead would not do: not all engines then stop the
+/// generation, and it would run at both.
 void ForwardFlow::SwitchToBackup(const std::string& aReason)
 {
-  if (m_call) {
-    // Closing the connection makes the engine cancel the request.
-    m_call->Cancel();
-    m_call.reset();
-  }
-  m_events.Restart();
   WriteLog(LogLevel::Info,
            "switch_to_backup",
            { { "request", m_request.m_id }, { "reason", aReason } });
@@ -215,11 +210,11 @@
     m_gateway.Placement().UseCopy(aCopy.m_ledgerId);
     m_ledgerId = aCopy.m_ledgerId;
   }
-  m_engineFirstEventAt = Instant();
   m_upstream = aCopy.m_upstream;
   m_upstreamEndpoint = aCopy.m_endpoint;
   const UpstreamEntry* entry = m_gateway.Members().Upstreams().Find(m_upstream);
   m_upstreamIncarnation = entry == nullptr ? 0 : entry->m_row.m_incarnation;
+  m_leavingSince.reset();
   m_gateway.UsePermit(m_upstream);
   AssignBackup();
   Send(m_upstreamEndpoint, m_resume);
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -271,9 +271,11 @@
         [&] { return first.m_eventsSent >= row.m_failAfterEvents; });
       if (row.m_isNoticeGiven) {
         engines.m_site.SetState(first.m_id, UpstreamState::Leaving);
-      } else {
-        first.AbortStream();
+        engines.m_site.RunUntil(
+          [&] { return first.m_eventsSent >= 2 * row.m_failAfterEvents; });
+        CHECK(second.m_generationsStarted == 0);
       }
+      first.AbortStream();
     }
     engines.Finish();
     CHECK(engines.m_call->m_status.ok() == row.m_isComplete);
--- a/unittests/Forwarding/ResumedGenerationTest.cpp
+++ b/unittests/Forwarding/ResumedGenerationTest.cpp
@@ -1,4 +1,4 @@
-/// Tests of generations that resume at another engine and fail there.
+/// Tests of generations that resume at another engine.
 
 #include "Forwarding/TwoEngines.h"
 #include "persimmontally/Support/Metrics.h"
@@ -31,8 +31,11 @@
     });
     FakeEngine& source = engines.First();
     engines.m_site.RunUntil([&] { return source.m_eventsSent >= 10; });
-    engines.m_site.SetState(source.m_id, UpstreamState::Leaving);
-    if (!row.m_isReclaimed) {
+    if (row.m_isReclaimed) {
+      engines.m_site.SetState(source.m_id, UpstreamState::Leaving);
+    }
+    if (row.m_canBackUp) {
+      engines.m_site.RunUntil([&] { return source.m_eventsSent >= 12; });
       source.AbortStream();
     }
     engines.Finish();
@@ -46,3 +49,53 @@
             "requests_total{result=\"interrupted\"} 1") != std::string::npos);
   }
 }
+
+// Guards against a generation that runs at two engines: not all engines stop
+// one whose connection has closed.
+TEST_CASE(
+  "a generation with a backup resumes once its engine has ended it, and "
+  "not before")
+{
+  struct Row
+  {
+    const char* m_name;
+    bool m_stopsIfClosed;
+    /// Events after which the engine ends, as announced.
+    int m_endsAfterEvents;
+    int m_resumes;
+  };
+  for (const Row& row : { Row{ "runs on when closed", false, 35, 1 },
+                          Row{ "stops when closed", true, 35, 1 },
+                          Row{ "ends with its output", false, 40, 0 } }) {
+    CAPTURE(std::string(row.m_name));
+    TwoEngines engines(true, [&](FakeEngine& aEngine) {
+      aEngine.m_stopsIfClosed = row.m_stopsIfClosed;
+    });
+    FakeEngine& source = engines.First();
+    bool isSourceRunning = false;
+    engines.Second().m_onResume = [&] {
+      isSourceRunning = !source.m_isStopped;
+    };
+    // Long enough for the backup to be complete.
+    Instant noticeAt = engines.m_site.Loop().Now() + milliseconds(300);
+    engines.m_site.RunUntil(
+      [&] { return engines.m_site.Loop().Now() >= noticeAt; });
+    engines.m_site.SetState(source.m_id, UpstreamState::Leaving);
+    engines.m_site.RunUntil([&] {
+      return source.m_eventsSent >= row.m_endsAfterEvents ||
+             engines.m_call->m_isDone;
+    });
+    if (row.m_resumes > 0) {
+      source.AbortStream();
+      engines.m_site.Kill(source.m_id);
+    }
+    engines.Finish();
+    CHECK(engines.m_call->m_status.ok());
+    CHECK(engines.m_call->m_response.m_body == Events(40));
+    CHECK(engines.Second().m_generationsStarted == row.m_resumes);
+    CHECK(!isSourceRunning);
+    // The announced end of an engine is no sign that a request crashes engines.
+    CHECK(engines.m_site.Counters().PrometheusText().find(
+            "upstream_deaths_total") == std::string::npos);
+  }
+}
--- a/unittests/Forwarding/TwoEngines.h
+++ b/unittests/Forwarding/TwoEngines.h
@@ -30,11 +30,15 @@
   /// Status of its responses to a request for a copy, and for the last part.
   int m_copyStatus = 200;
   int m_lastPartStatus = 200;
+  /// Whether it stops a generation whose connection has closed.
+  bool m_stopsIfClosed = true;
   int m_copyRequests = 0;
   std::vector<std::string> m_backups;
   ForwardSite::Writer m_writer;
   int m_eventsSent = 0;
   int m_generationsStarted = 0;
+  /// Called when a generation resumes here.
+  std::function<void()> m_onResume;
   bool m_isStopped = false;
   Timer m_timer;
 
@@ -56,6 +60,9 @@
       return;
     }
     ++m_generationsStarted;
+    if (isResume && m_onResume) {
+      m_onResume();
+    }
     if (isResume && m_resumeStatus != 200) {
       aWriter->SendResponse({ m_resumeStatus, Genuine(aRequest), "failed" });
       return;
@@ -65,7 +72,7 @@
       isResume ? std::stoi(std::string(aRequest.Header("Last-Event-Id"))) : 0;
     m_writer = aWriter;
     m_isStopped = false;
-    m_writer->OnClosed([this] { m_isStopped = true; });
+    m_writer->OnClosed([this] { m_isStopped = m_stopsIfClosed; });
     m_writer->StartStream(200, Genuine(aRequest));
     SendNextEvent();
   }
@@ -76,6 +83,7 @@
       return;
     }
     if (m_eventsSent == m_eventLimit) {
+      m_isStopped = true;
       m_writer->Finish();
       return;
     }
--- a/unittests/Forwarding/UnframedResponseTest.cpp
+++ b/unittests/Forwarding/UnframedResponseTest.cpp
@@ -140,3 +140,65 @@
     CHECK(call->m_response.m_body == row.m_body);
   }
 }
+
+// Guards against streams that end in the middle because the end of a reclaimed
+// engine looks like that of a complete stream.
+TEST_CASE("an unframed stream that a reclaimed engine closes resumes if its "
+          "backup is there, and is complete if it was dropped")
+{
+  struct Row
+  {
+    const char* m_name;
+    bool m_hasCopy;
+    std::string m_body;
+  };
+  for (const Row& row :
+       std::vector<Row>{ { "reclaimed", true, Event(1) + Event(2) + Event(3) },
+                         { "complete", false, Event(1) + Event(2) } }) {
+    CAPTURE(std::string(row.m_name));
+    ForwardSite site;
+    RawUpstream source(site.Loop(),
+                       "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n"
+                       "Server-Stamp: s\r\n\r\n" +
+                         Event(1) + Event(2),
+                       "",
+                       RawEnd::Hold);
+    site.AddUpstreamAt("source", "engines", source.Address());
+    int resumes = 0;
+    // Takes the generation only if it resumes here.
+    site.AddUpstream(
+      "target",
+      "engines",
+      [&](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
+        bool isResume = !aRequest.Header("Kv-From").empty();
+        resumes += isResume ? 1 : 0;
+        if (!isResume || !row.m_hasCopy) {
+          HttpHeaders headers = Genuine(aRequest);
+          headers.push_back({ "Not-Run", "1" });
+          aWriter->SendResponse({ 503, headers, "" });
+          return;
+        }
+        CHECK(aRequest.Header("Last-Event-Id") == "2");
+        aWriter->StartStream(200, Genuine(aRequest));
+        aWriter->Write(Event(3));
+        aWriter->Finish();
+      });
+    std::shared_ptr<ForwardSite::Call> call;
+    do {
+      call = site.Start("/stream/x",
+                        { { "X-Api-Key", "key" },
+                          { "Token-Count", "100,400" },
+                          { "Length-Hint", "400" } });
+      site.RunUntil(
+        [&] { return call->m_isDone || call->m_response.m_body.size() > 30; });
+    } while (call->m_isDone);
+    site.SetState("source", UpstreamState::Leaving);
+    Instant end = site.Loop().Now() + milliseconds(800);
+    site.RunUntil([&] { return site.Loop().Now() >= end; });
+    source.CloseHeld();
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_status.ok());
+    CHECK(call->m_response.m_body == row.m_body);
+    CHECK(resumes == 1);
+  }
+}
