[Net, Daemon] Hold SIGHUP back while a process starts

Cause: the handler is installed after the settings are read and the host is built; until then the default action applies. Now SIGHUP is blocked first in main and unblocked with its handler, so that a signal between is delivered and the settings are read again.

New SignalTest with the settings of deploy/ and a pipe as settings file: both roles ended before.

--- a/include/persimmontally/Net/EventLoop.h
+++ b/include/persimmontally/Net/EventLoop.h
@@ -46,6 +46,10 @@
 class EventLoop
 {
 public:
+  /// To be called first in the `main` of a long-running process. Holds SIGHUP,
+  /// which would end the process, back until `OnReload`.
+  static void PrepareSignals();
+
   EventLoop();
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -13,6 +13,20 @@
 
 namespace persimmontally {
 
+static sigset_t ReloadSignal()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+void EventLoop::PrepareSignals()
+{
+  sigset_t held = ReloadSignal();
+  ::pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 EventLoop::EventLoop()
   : m_context(std::make_unique<LoopContext>())
 {
@@ -105,6 +119,8 @@
   m_context->m_reloadSignals.add(SIGHUP);
   WaitForReload(*m_context,
                 std::make_shared<std::function<void()>>(std::move(aAction)));
+  sigset_t held = ReloadSignal();
+  ::pthread_sigmask(SIG_UNBLOCK, &held, nullptr);
 }
 
 void EventLoop::OnTerminate(std::function<void()> aAction)
--- a/tools/persimmontally-engine/main.cpp
+++ b/tools/persimmontally-engine/main.cpp
@@ -81,6 +81,7 @@
 
 int main(int argc, char** argv)
 {
+  EventLoop::PrepareSignals();
   gflags::SetUsageMessage(
     "persimmontally-engine --id ID --listen ADDRESS:PORT");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tools/persimmontallyd/main.cpp
+++ b/tools/persimmontallyd/main.cpp
@@ -47,6 +47,7 @@
 
 int main(int argc, char** argv)
 {
+  EventLoop::PrepareSignals();
   gflags::SetUsageMessage("persimmontallyd --config FILE [--check_config]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_print_settings) {
--- /dev/null
+++ b/unittests/Process/SignalTest.cpp
@@ -0,0 +1,54 @@
+/// Tests of signals that must not end a process.
+
+#include "Process/ProcessSite.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace persimmontally;
+
+// Guards against processes that a change of their settings ends while they
+// start, and against a change that is not read.
+TEST_CASE("a reload signal while a process starts neither ends it nor is lost")
+{
+  ProcessSite site(ProcessSiteOptions{});
+  for (DaemonProcess* process : { &site.Entry(0), &site.Control(0) }) {
+    CAPTURE(process->m_name);
+    std::string path = site.WriteSettings(*process);
+    std::ifstream in(path);
+    std::stringstream settings;
+    settings << in.rdbuf();
+    std::filesystem::remove(path);
+    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+    site.StartProcess(*process);
+    // A pipe can be opened for writing once the process reads its settings.
+    auto write = [&](bool aSignals) {
+      int pipe = -1;
+      site.RunUntil([&] {
+        pipe = ::open(path.c_str(), O_WRONLY | O_NONBLOCK);
+        return pipe >= 0 || process->m_hasEnded;
+      });
+      if (aSignals) {
+        ProcessSite::Signal(*process, SIGHUP);
+      }
+      if (pipe >= 0) {
+        std::string text = settings.str();
+        CHECK(::write(pipe, text.data(), text.size()) ==
+              static_cast<ssize_t>(text.size()));
+        ::close(pipe);
+      }
+    };
+    write(true);
+    write(false);
+    site.RunFor(milliseconds(500));
+    CHECK(!process->m_hasEnded);
+    CHECK(site.LogOf(*process).find("settings_reloaded") != std::string::npos);
+  }
+}
