--- a/include/persimmontally/Net/EventLoop.h
+++ b/include/persimmontally/Net/EventLoop.h
@@ -46,8 +46,9 @@
 class EventLoop
 {
 public:
-  /// To be called first in the `main` of a long-running process. Holds SIGHUP,
-  /// which would end the process, back until `OnReload`.
+  /// To be called first in the `main` of a long-running process. Ignores
+  /// SIGPIPE, as when the reader of the log goes away, and holds SIGHUP back
+  /// until `OnReload`: both would end the process.
   static void PrepareSignals();
 
   EventLoop();
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -23,6 +23,7 @@
 
 void EventLoop::PrepareSignals()
 {
+  std::signal(SIGPIPE, SIG_IGN);
   sigset_t held = ReloadSignal();
   ::pthread_sigmask(SIG_BLOCK, &held, nullptr);
 }
--- a/tools/persimmontally-faultproxy/main.cpp
+++ b/tools/persimmontally-faultproxy/main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio.hpp>
 
 #include <array>
+#include <csignal>
 #include <deque>
 #include <iostream>
 #include <map>
@@ -385,6 +386,7 @@
 
 int main(int argc, char** argv)
 {
+  std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage("persimmontally-faultproxy --links LIST");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   asio::io_context context;
--- a/unittests/Process/SignalTest.cpp
+++ b/unittests/Process/SignalTest.cpp
@@ -52,3 +52,22 @@
     CHECK(site.LogOf(*process).find("settings_reloaded") != std::string::npos);
   }
 }
+
+// Guards against processes that end when the reader of their log does.
+TEST_CASE("a process runs on when the reader of its output has gone")
+{
+  ProcessSite site(ProcessSiteOptions{});
+  DaemonProcess& process = site.Entry(0);
+  int pipe[2];
+  REQUIRE(::pipe2(pipe, O_CLOEXEC) == 0);
+  site.StartProcess(process, pipe[1]);
+  ::close(pipe[1]);
+  site.RunFor(milliseconds(500));
+  ::close(pipe[0]);
+  // Each reload writes a line.
+  for (int i = 0; i < 3; ++i) {
+    ProcessSite::Signal(process, SIGHUP);
+    site.RunFor(milliseconds(100));
+  }
+  CHECK(!process.m_hasEnded);
+}
