[Daemon, Net] Let a stopping host send its last responses and answer its orders

Seen with real processes on: a caller that reads slowly gets 2.8 of 14 MB when its host is stopped, and an order that a stopping control host has read and that waits for a majority ends without an answer (3 of 3 control hosts).

Cause: a shutdown waited for the open requests of the gateway. A response that is handed to the HTTP server is no open request, though most of it may still be in memory, and a control host has no gateway. Now a shutdown waits until no request that was read lacks a part of its response.

--- a/include/persimmontally/Net/HttpServer.h
+++ b/include/persimmontally/Net/HttpServer.h
@@ -75,6 +75,9 @@
   /// Stops accepting connections; open ones are not affected.
   void StopAccepting();
   size_t OpenConnections() const;
+  /// Returns the number of requests whose response is not yet written to the
+  /// socket.
+  size_t OpenExchanges() const;
 
 private:
   struct Impl;
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -150,7 +150,7 @@
   constexpr Duration kDrainPollPeriod = milliseconds(50);
   // Time for the last writes to leave the sockets.
   constexpr Duration kFinalWriteTime = milliseconds(300);
-  if (m_gateway->OpenRequests() > 0) {
+  if (m_gateway->OpenRequests() > 0 || m_http->OpenExchanges() > 0) {
     m_shutdownTimer =
       m_loop.RunAfter(kDrainPollPeriod, [this] { ContinueShutdown(); });
     return;
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -129,6 +129,8 @@
   void SendNextFullLedger();
   void OnHostChange(const HostChange& aChange);
   void BeginShutdown();
+  void StopAccepting();
+  bool HasOpenExchanges() const;
   void ContinueShutdown();
 
   EventLoop& m_loop;
@@ -515,22 +517,42 @@
   if (std::exchange(m_isShuttingDown, true)) {
     return;
   }
+  const Settings& settings = m_core.Config();
   size_t open = m_gateway ? m_gateway->OpenRequests() : 0;
   WriteLog(LogLevel::Info, "shutdown_begins", { { "open_requests", open } });
-  Duration grace = m_gateway ? m_core.Config().m_shutdownGrace : Duration(0);
+  // The control API has no load balancer that has to learn of the shutdown.
+  Duration grace = m_gateway ? settings.m_shutdownGrace : Duration(0);
   m_shutdownTimer = m_loop.RunAfter(grace, [this] {
-    if (m_gateway) {
-      m_gateway->StopAcceptingRequests();
-      m_callerServer->DisableKeepAlive();
-      m_callerServer->StopAccepting();
-    }
+    StopAccepting();
     ContinueShutdown();
   });
 }
 
+void RoutedHost::Impl::StopAccepting()
+{
+  if (m_gateway) {
+    m_gateway->StopAcceptingRequests();
+  }
+  for (HttpServer* server : { m_callerServer.get(), m_operatorServer.get() }) {
+    if (server != nullptr) {
+      server->DisableKeepAlive();
+      server->StopAccepting();
+    }
+  }
+}
+
+/// Returns whether a caller or an operator still waits for a response, or for
+/// the rest of one.
+bool RoutedHost::Impl::HasOpenExchanges() const
+{
+  return (m_gateway && m_gateway->OpenRequests() > 0) ||
+         (m_callerServer && m_callerServer->OpenExchanges() > 0) ||
+         (m_operatorServer && m_operatorServer->OpenExchanges() > 0);
+}
+
 void RoutedHost::Impl::ContinueShutdown()
 {
-  if (m_gateway && m_gateway->OpenRequests() > 0) {
+  if (HasOpenExchanges()) {
     m_shutdownTimer =
       m_loop.RunAfter(kDrainPollPeriod, [this] { ContinueShutdown(); });
     return;
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -28,6 +28,7 @@
   HttpServer::Handler m_handler;
   bool m_keepAliveAllowed = true;
   size_t m_openConnections = 0;
+  size_t m_openExchanges = 0;
 };
 
 /// Connection of one caller. Reads a request, passes it to the handler, writes
@@ -44,7 +45,11 @@
     ConfigureSocket(m_stream.socket(),
                     { m_server->m_limits.m_writeStallTimeout, seconds(5) });
   }
-  ~Connection() { --m_server->m_openConnections; }
+  ~Connection()
+  {
+    EndExchange();
+    --m_server->m_openConnections;
+  }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -76,6 +81,8 @@
   void AppendHead(int aStatus,
                   const HttpHeaders& aHeaders,
                   std::string aLength);
+  void BeginExchange();
+  void EndExchange();
   bool StartResponse(uint64_t aExchange);
   void Flush();
   void CompleteExchange();
@@ -230,9 +237,7 @@
   } else if (aError == beast::error::timeout) {
     kind = ErrorKind::RequestTimeout;
   }
-  ++m_exchange;
-  m_inExchange = true;
-  m_isResponseStarted = false;
+  BeginExchange();
   m_keepAlive = false;
   Refusal refusal = RefusalBuilder(kind, aError.message()).Build();
   SendResponse(m_exchange,
@@ -254,10 +259,7 @@
   request.m_body = std::move(message.body());
   m_keepAlive = message.keep_alive() && m_server->m_keepAliveAllowed;
   m_isHead = message.method() == http::verb::head;
-  ++m_exchange;
-  m_inExchange = true;
-  m_isResponseStarted = false;
-  m_responseQueued = false;
+  BeginExchange();
   m_onDrained = nullptr;
   m_onClosed = nullptr;
   WatchForDisconnect();
@@ -302,6 +304,22 @@
     .append("\r\n");
 }
 
+void Connection::BeginExchange()
+{
+  ++m_exchange;
+  m_inExchange = true;
+  ++m_server->m_openExchanges;
+  m_isResponseStarted = false;
+  m_responseQueued = false;
+}
+
+void Connection::EndExchange()
+{
+  if (std::exchange(m_inExchange, false)) {
+    --m_server->m_openExchanges;
+  }
+}
+
 /// Returns whether the response may start now. Breaks off a response that has
 /// already started: the caller would take a second head for part of its body.
 bool Connection::StartResponse(uint64_t aExchange)
@@ -421,7 +439,7 @@
 
 void Connection::CompleteExchange()
 {
-  m_inExchange = false;
+  EndExchange();
   m_onClosed = nullptr;
   m_onDrained = nullptr;
   // Cancels the wait started by `WatchForDisconnect`.
@@ -468,7 +486,9 @@
   auto action = std::move(m_onClosed);
   m_onClosed = nullptr;
   m_onDrained = nullptr;
-  if (m_inExchange && action) {
+  bool wasInExchange = m_inExchange;
+  EndExchange();
+  if (wasInExchange && action) {
     action();
   }
 }
@@ -544,4 +564,9 @@
   return m_impl->m_state->m_openConnections;
 }
 
+size_t HttpServer::OpenExchanges() const
+{
+  return m_impl->m_state->m_openExchanges;
+}
+
 } // namespace persimmontally
