[Forwarding, Daemon, Proxy] Refuse at a stop what cannot end before the host does

Cause: a host that shuts down kept its queue and took requests as before, and did not know when it would be killed. Now shutdown_limit_s states it (the platform's grace). From the signal on, only requests that are expected to end before it are taken or left waiting; the others are refused as not run. 0.5 s before it, all that is open gets its last answer, and the host exits by itself. Both front doors.

StopTest: none lost in four stops of each row, the host ends after 6.5 to 7.6 s.

--- a/include/persimmontally/Daemon/RoutedHost.h
+++ b/include/persimmontally/Daemon/RoutedHost.h
@@ -29,7 +29,8 @@
   void Reload(const Settings& aSettings);
   /// Begins a graceful shutdown and then stops the event loop. An entry host
   /// first fails readiness, waits `shutdown_grace_ms` for the load balancer to
-  /// react, and waits for its open requests to end.
+  /// react, and waits for its open requests to end. Requests that cannot end
+  /// within `shutdown_limit_s` are refused, also those that wait.
   void BeginShutdown();
   /// The error that made the host stop by itself; OK if there was none.
   const absl::Status& Failure() const;
--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -48,6 +48,10 @@
   uint32_t m_tokensPerEvent = 4;
 };
 
+/// Retry delay suggested to callers whose request is refused because this host
+/// is shutting down: other hosts take it at once.
+constexpr Duration kRetryAfterShutdown = milliseconds(10);
+
 /// Accepts callers' requests on the routes of the catalog and forwards each to
 /// an upstream until its response ends. Placement, retry budgets and the
 /// schedule of migrations are decided by the member objects.
@@ -69,6 +73,11 @@
   /// are waiting for the first catalog.
   void SetRoutes(RouteTablePtr aRoutes);
   const RouteTablePtr& Routes() const { return m_routes; }
+  /// From now on refuses requests, also queued ones, that are expected to end
+  /// after `aLimit`, so that their callers go to other hosts.
+  void BeginShutdown(Instant aLimit) { m_endsBy = aLimit; }
+  /// Ends all open requests. Called shortly before the process is killed.
+  void EndRequests();
   /// Refuses new requests from now on. Called during shutdown, after the load
   /// balancer has had time to stop sending requests to this host.
   void StopAcceptingRequests() { m_acceptsRequests = false; }
@@ -154,6 +163,8 @@
 
   void Route(RoutedRequest aRequest, Writer aWriter);
   void RefuseEarlyRequests();
+  /// Returns the flows of all open requests, some of which the caller may end.
+  std::vector<std::shared_ptr<ForwardFlow>> OpenFlows() const;
   void ApplyActions(const std::vector<DispatchAction>& aActions);
   void RunPlacement();
   void SendLedger();
@@ -187,6 +198,8 @@
   std::string m_idPrefix;
   uint64_t m_nextId = 1;
   bool m_acceptsRequests = true;
+  /// When the host ends, once that is known.
+  std::optional<Instant> m_endsBy;
   bool m_isKicked = false;
   bool m_wasBusy = false;
   bool m_hasFlowsOnLeavingUpstreams = false;
--- a/include/persimmontally/Proxy/Gateway.h
+++ b/include/persimmontally/Proxy/Gateway.h
@@ -74,6 +74,8 @@
   /// Refuses new requests from now on. Called after the load balancer has had
   /// time to see the failed readiness check.
   void StopAcceptingRequests() { m_acceptsRequests = false; }
+  /// Ends all open requests. Called shortly before the process is killed.
+  void EndRequests();
   bool IsShuttingDown() const { return m_isShuttingDown; }
   size_t OpenRequests() const { return m_flows.size(); }
   void ReceiveShare(const HostId& aFrom, const ShareMessage& aMessage);
--- a/include/persimmontally/Support/Settings.h
+++ b/include/persimmontally/Support/Settings.h
@@ -79,6 +79,8 @@
   Duration m_headerTimeout{ 0 };
   Duration m_writeStallTimeout{ 0 };
   Duration m_shutdownGrace{ 0 };
+  /// Time from the stop signal until the process is killed; 0 if it is not.
+  Duration m_shutdownLimit{ 0 };
   std::string m_routingPolicy;
 
   bool operator==(const Settings&) const = default;
@@ -94,7 +96,7 @@
 
 /// Schema of one setting, from which settings files are checked and the
 /// reference table is printed. `m_type` also gives the range or the allowed
-/// values: `int LOW HIGH` or `enum A|B`.
+/// values: `int LOW HIGH`, `decimal LOW HIGH` or `enum A|B`.
 struct SettingRow
 {
   std::string_view m_section;
--- a/lib/Daemon/EntryHost.cpp
+++ b/lib/Daemon/EntryHost.cpp
@@ -11,6 +11,10 @@
 
 /// Tick period of the gateway in the absence of other events.
 static constexpr Duration kGatewayTickPeriod = milliseconds(10);
+/// Time before the process is killed at which a host that is shutting down ends
+/// its open requests, and the time that it then leaves to send their responses.
+static constexpr Duration kEndRequestsBefore = milliseconds(500);
+static constexpr Duration kLastSendTime = milliseconds(300);
 
 static GatewayOptions MakeGatewayOptions(const Settings& aSettings)
 {
@@ -49,7 +53,9 @@
 
   absl::Status Start();
   void BeginShutdown();
+  void EndRequests();
   void ContinueShutdown();
+  void EndHost();
   void FlushDispatch();
   void OnPeerMessage(const HostId& aFrom, const PeerMessage& aMessage);
 
@@ -59,6 +65,8 @@
   std::unique_ptr<HttpServer> m_http;
   Timer m_gatewayTimer;
   Timer m_shutdownTimer;
+  /// Ends the open requests, and then the host, before the process is killed.
+  Timer m_endTimer;
 };
 
 absl::Status EntryHost::Impl::Start()
@@ -138,23 +146,48 @@
            "shutdown_begins",
            { { "open_requests", m_gateway->OpenRequests() } });
   m_gateway->BeginShutdown();
-  m_shutdownTimer = m_loop.RunAfter(m_core.Config().m_shutdownGrace, [this] {
+  const Settings& settings = m_core.Config();
+  if (settings.m_shutdownLimit > Duration(0)) {
+    m_endTimer = m_loop.RunAfter(
+      std::max(Duration(0), settings.m_shutdownLimit - kEndRequestsBefore),
+      [this] { EndRequests(); });
+  }
+  m_shutdownTimer = m_loop.RunAfter(settings.m_shutdownGrace, [this] {
     m_gateway->StopAcceptingRequests();
     m_http->StopAccepting();
     ContinueShutdown();
   });
 }
 
+/// Ends the open requests and, once their responses have been sent or the time
+/// for that has passed, the host.
+void EntryHost::Impl::EndRequests()
+{
+  WriteLog(LogLevel::Info,
+           "shutdown_ends_requests",
+           { { "open_requests", m_gateway->OpenRequests() } });
+  m_gateway->EndRequests();
+  m_http->StopAccepting();
+  m_endTimer = m_loop.RunAfter(kLastSendTime, [this] { EndHost(); });
+  ContinueShutdown();
+}
+
 void EntryHost::Impl::ContinueShutdown()
 {
   constexpr Duration kDrainPollPeriod = milliseconds(50);
-  // Time for the last writes to leave the sockets.
-  constexpr Duration kFinalWriteTime = milliseconds(300);
   if (m_gateway->OpenRequests() > 0 || m_http->OpenExchanges() > 0) {
     m_shutdownTimer =
       m_loop.RunAfter(kDrainPollPeriod, [this] { ContinueShutdown(); });
     return;
   }
+  EndHost();
+}
+
+void EntryHost::Impl::EndHost()
+{
+  // Time for the last writes to leave the sockets.
+  constexpr Duration kFinalWriteTime = milliseconds(50);
+  m_endTimer.Cancel();
   m_core.Leave();
   m_shutdownTimer = m_loop.RunAfter(kFinalWriteTime, [this] {
     WriteLog(LogLevel::Info, "shutdown_ends", {});
--- a/lib/Daemon/RoutedHost.cpp
+++ b/lib/Daemon/RoutedHost.cpp
@@ -36,6 +36,10 @@
 static constexpr Duration kDrainPollPeriod = milliseconds(20);
 /// Time for the last writes to leave the sockets.
 static constexpr Duration kFinalWriteTime = milliseconds(50);
+/// Time before the process is killed at which a host that is shutting down ends
+/// its open requests, and the time that it then leaves to send their responses.
+static constexpr Duration kEndRequestsBefore = milliseconds(500);
+static constexpr Duration kLastSendTime = milliseconds(300);
 
 static MembershipOptions MakeMembershipOptions()
 {
@@ -131,7 +135,9 @@
   void BeginShutdown();
   void StopAccepting();
   bool HasOpenExchanges() const;
+  void EndRequests();
   void ContinueShutdown();
+  void EndHost();
 
   EventLoop& m_loop;
   const WireProtocol& m_protocol;
@@ -160,6 +166,8 @@
   HostId m_lastFullLedgerTo;
   Timer m_gatewayTimer;
   Timer m_shutdownTimer;
+  /// Ends the open requests, and then the host, before the process is killed.
+  Timer m_endTimer;
 };
 
 absl::Status RoutedHost::Impl::Listen(std::unique_ptr<HttpServer>& aServer,
@@ -510,7 +518,8 @@
   }
 }
 
-// Shutdown after the open requests have ended.
+// Shutdown after the open requests have ended, or shortly before the process is
+// killed.
 
 void RoutedHost::Impl::BeginShutdown()
 {
@@ -519,7 +528,18 @@
   }
   const Settings& settings = m_core.Config();
   size_t open = m_gateway ? m_gateway->OpenRequests() : 0;
-  WriteLog(LogLevel::Info, "shutdown_begins", { { "open_requests", open } });
+  WriteLog(LogLevel::Info,
+           "shutdown_begins",
+           { { "open_requests", open },
+             { "limit_ms", ToMilliseconds(settings.m_shutdownLimit) } });
+  if (settings.m_shutdownLimit > Duration(0)) {
+    Duration time =
+      std::max(Duration(0), settings.m_shutdownLimit - kEndRequestsBefore);
+    if (m_gateway) {
+      m_gateway->BeginShutdown(m_loop.Now() + time);
+    }
+    m_endTimer = m_loop.RunAfter(time, [this] { EndRequests(); });
+  }
   // The control API has no load balancer that has to learn of the shutdown.
   Duration grace = m_gateway ? settings.m_shutdownGrace : Duration(0);
   m_shutdownTimer = m_loop.RunAfter(grace, [this] {
@@ -550,6 +570,21 @@
          (m_operatorServer && m_operatorServer->OpenExchanges() > 0);
 }
 
+/// Ends the open requests and, once their responses have been sent or the time
+/// for that has passed, the host.
+void RoutedHost::Impl::EndRequests()
+{
+  StopAccepting();
+  if (m_gateway) {
+    WriteLog(LogLevel::Info,
+             "shutdown_ends_requests",
+             { { "open_requests", m_gateway->OpenRequests() } });
+    m_gateway->EndRequests();
+  }
+  m_endTimer = m_loop.RunAfter(kLastSendTime, [this] { EndHost(); });
+  ContinueShutdown();
+}
+
 void RoutedHost::Impl::ContinueShutdown()
 {
   if (HasOpenExchanges()) {
@@ -557,6 +592,12 @@
       m_loop.RunAfter(kDrainPollPeriod, [this] { ContinueShutdown(); });
     return;
   }
+  EndHost();
+}
+
+void RoutedHost::Impl::EndHost()
+{
+  m_endTimer.Cancel();
   m_core.Leave();
   m_shutdownTimer = m_loop.RunAfter(kFinalWriteTime, [this] {
     WriteLog(LogLevel::Info, "shutdown_ends", {});
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -20,6 +20,13 @@
 /// full.
 static constexpr Duration kRetryAfterRejected = milliseconds(100);
 
+/// Estimates of callers are often exceeded, but seldom by more than this.
+static constexpr uint32_t kLengthMargin = 2;
+/// Longest time from the send to the first token on an engine with free memory.
+static constexpr Duration kLongestPrefill = seconds(1);
+/// Speed of an engine whose slots are all taken, against the assumed one.
+static constexpr double kFullEngineSpeed = 0.5;
+
 ForwardFlow::ForwardFlow(ForwardGateway& aGateway,
                          RequestId aId,
                          RoutedRequest aRequest,
@@ -518,6 +525,38 @@
            .Build());
 }
 
+Instant ForwardFlow::ExpectedEnd() const
+{
+  double rate = m_gateway.Options().m_dispatch.m_assumedTokensPerSecond;
+  if (!IsGeneration() || m_request.m_maxOutputTokens == 0 || rate <= 0) {
+    return m_deadline;
+  }
+  uint32_t tokens = m_request.m_maxOutputTokens;
+  if (m_request.m_expectedOutputTokens > 0) {
+    tokens = std::min(tokens, kLengthMargin * m_request.m_expectedOutputTokens);
+  }
+  Duration time = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(tokens / (rate * kFullEngineSpeed)));
+  return std::min(m_deadline, m_gateway.Loop().Now() + kLongestPrefill + time);
+}
+
+void ForwardFlow::EndIfTooLong(Instant aLimit)
+{
+  if (m_state == State::Queued && ExpectedEnd() > aLimit) {
+    EndForShutdown();
+  }
+}
+
+void ForwardFlow::EndForShutdown()
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  Refuse(RefusalBuilder(ErrorKind::ShuttingDown, "the host is shutting down")
+           .WithRetryAfter(kRetryAfterShutdown)
+           .Build());
+}
+
 void ForwardFlow::OnCallerGone()
 {
   if (m_state != State::Ended) {
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -40,6 +40,14 @@
   void OnGrant(const DispatchGrant& aGrant);
   void OnRefused(const Refusal& aRefusal);
 
+  /// Latest time at which the request is expected to end if it is sent now.
+  Instant ExpectedEnd() const;
+  /// Refuses the request if it is queued and expected to end after `aLimit`.
+  void EndIfTooLong(Instant aLimit);
+  /// Ends the request because the host ends: refuses one that has no response
+  /// yet, and breaks off a stream.
+  void EndForShutdown();
+
   /// Ends a request that is queued, or that its upstream is still reading, if
   /// it is now known to crash upstreams.
   void EndIfQuarantined();
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -103,7 +103,7 @@
 {
   Instant now = m_loop.Now();
   auto isLate = [&](const EarlyRequest& aEarly) {
-    return aEarly.m_arrivedAt + kMaxEarlyWait <= now ||
+    return aEarly.m_arrivedAt + kMaxEarlyWait <= now || !m_acceptsRequests ||
            m_earlyRequests.size() > kMaxEarlyRequests;
   };
   while (!m_earlyRequests.empty() && isLate(m_earlyRequests.front())) {
@@ -150,8 +150,9 @@
   target.m_rank =
     target.m_route->m_priority == 0 ? Rank::Urgent : Rank::Routine;
   if (!m_acceptsRequests) {
-    refuse(
-      ErrorKind::ShuttingDown, "the host is shutting down", milliseconds(10));
+    refuse(ErrorKind::ShuttingDown,
+           "the host is shutting down",
+           kRetryAfterShutdown);
     return;
   }
   std::uniform_real_distribution<double> draw(0, 1);
@@ -162,6 +163,9 @@
     *this, id, std::move(request), std::move(target), std::move(aWriter));
   m_flows.emplace(id, flow);
   flow->Start();
+  if (m_endsBy) {
+    flow->EndIfTooLong(*m_endsBy);
+  }
 }
 
 void ForwardGateway::Refuse(ResponseWriter& aWriter,
@@ -373,17 +377,36 @@
     return;
   }
   m_crashWatch->VouchForSoundParts(m_entryHosts);
+  for (const auto& flow : OpenFlows()) {
+    flow->EndIfQuarantined();
+  }
+}
+
+std::vector<std::shared_ptr<ForwardFlow>> ForwardGateway::OpenFlows() const
+{
   std::vector<std::shared_ptr<ForwardFlow>> flows;
   for (const auto& [id, flow] : m_flows) {
     flows.push_back(flow);
   }
-  for (const auto& flow : flows) {
-    flow->EndIfQuarantined();
+  return flows;
+}
+
+void ForwardGateway::EndRequests()
+{
+  m_acceptsRequests = false;
+  for (const auto& flow : OpenFlows()) {
+    flow->EndForShutdown();
   }
+  RefuseEarlyRequests();
 }
 
 void ForwardGateway::Tick()
 {
+  if (m_endsBy) {
+    for (const auto& flow : OpenFlows()) {
+      flow->EndIfTooLong(*m_endsBy);
+    }
+  }
   EndQuarantinedRequests();
   RunPlacement();
   StartDueMigrations();
--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -456,6 +456,25 @@
   Close(DispatchOutcome::Failed, "refused");
 }
 
+void CompletionFlow::EndForShutdown()
+{
+  if (m_isClosed) {
+    return;
+  }
+  if (HasDelivered()) {
+    Interrupt("the host is shutting down");
+    return;
+  }
+  CancelUpstream();
+  Refuse(
+    m_wasSent
+      ? RefusalBuilder(ErrorKind::UpstreamFailed, "the host is shutting down")
+          .AfterSend()
+          .Build()
+      : RefusalBuilder(ErrorKind::ShuttingDown, "the host is shutting down")
+          .Build());
+}
+
 // End of the request: completion, or cancellation at the upstream.
 
 void CompletionFlow::CompleteResponse()
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -304,6 +304,18 @@
   SchedulePlacement();
 }
 
+void Gateway::EndRequests()
+{
+  m_acceptsRequests = false;
+  std::vector<Flow> flows;
+  for (const auto& [id, flow] : m_flows) {
+    flows.push_back(flow);
+  }
+  for (const Flow& flow : flows) {
+    std::visit([](const auto& aFlow) { aFlow->EndForShutdown(); }, flow);
+  }
+}
+
 // Periodic work and placement.
 
 void Gateway::RunPlacement()
--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -407,6 +407,29 @@
            .Build());
 }
 
+void ServiceFlow::EndForShutdown()
+{
+  if (m_isClosed) {
+    return;
+  }
+  if (!m_wasSent) {
+    OnRefused(
+      RefusalBuilder(ErrorKind::ShuttingDown, "the host is shutting down")
+        .Build());
+    return;
+  }
+  if (m_hasClaim) {
+    EndClaim(OrderState::Unknown, {});
+  }
+  Refuse(
+    m_hasClaim
+      ? RefusalBuilder(ErrorKind::OutcomeUnknown, "the host is shutting down")
+          .Build()
+      : RefusalBuilder(ErrorKind::UpstreamFailed, "the host is shutting down")
+          .AfterSend()
+          .Build());
+}
+
 // Response to the caller and end of the request.
 
 void ServiceFlow::Respond(const OrderAnswer& aAnswer, bool aIsReplay)
--- a/lib/Proxy/ServiceFlow.h
+++ b/lib/Proxy/ServiceFlow.h
@@ -42,6 +42,8 @@
   void Start();
   void OnGrant(const DispatchGrant& aGrant);
   void OnRefused(const Refusal& aRefusal);
+  /// Ends the request because the host ends.
+  void EndForShutdown();
 
 private:
   void Claim();
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -177,6 +177,11 @@
       "int 0 600000",
       "3000",
       "time that listeners stay open after readiness turns off at shutdown" },
+    { "limits",
+      "shutdown_limit_s",
+      "decimal 0 86400",
+      "0",
+      "time from the stop signal until the process is killed, 0 if it is not" },
     { "routing",
       "policy",
       "enum least_load|least_in_flight|round_robin",
@@ -321,6 +326,32 @@
     return value;
   }
 
+  /// Reads a number of seconds, which may have a fraction.
+  Duration Seconds(const char* aSection, const char* aKey)
+  {
+    const SettingRow& row = FindRow(aSection, aKey);
+    std::istringstream type{ std::string(row.m_type) };
+    std::string typeName;
+    double low = 0;
+    double high = 0;
+    type >> typeName >> low >> high;
+    std::string text = Text(aSection, aKey);
+    double value = low;
+    const char* end = text.data() + text.size();
+    auto result = std::from_chars(text.data(), end, value);
+    // The comparison is false for a value that is not a number.
+    bool isInRange = value >= low && value <= high;
+    if (result.ec != std::errc() || result.ptr != end || !isInRange) {
+      AddError(aSection,
+               aKey,
+               "'" + text + "' is not a number from " +
+                 std::string(row.m_type.substr(typeName.size() + 1)));
+      return Duration(0);
+    }
+    return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+  }
+
   std::string EnumValue(const char* aSection, const char* aKey)
   {
     const SettingRow& row = FindRow(aSection, aKey);
@@ -511,6 +542,7 @@
     milliseconds(reader.Integer("limits", "write_stall_timeout_ms"));
   out.m_shutdownGrace =
     milliseconds(reader.Integer("limits", "shutdown_grace_ms"));
+  out.m_shutdownLimit = reader.Seconds("limits", "shutdown_limit_s");
   out.m_routingPolicy = reader.EnumValue("routing", "policy");
   if (!reader.Errors().empty()) {
     return absl::InvalidArgumentError(reader.Errors());
--- a/unittests/Process/StopTest.cpp
+++ b/unittests/Process/StopTest.cpp
@@ -14,6 +14,115 @@
 
 using namespace persimmontally;
 
+namespace {
+
+/// Time in which a request that was read is answered if it is not passed on.
+constexpr Duration kLostTime = milliseconds(200);
+/// A request sent later than this after SIGTERM must be answered even if its
+/// upstream is still at work at the end of the grace.
+constexpr Duration kExcusedTime = seconds(3);
+
+struct StopCounts
+{
+  int m_answered = 0;
+  int m_refused = 0;
+  int m_excused = 0;
+  int m_lost = 0;
+};
+
+/// Stops an entry host as the platform does, and counts the requests that were
+/// sent to it from `contact-ms` before.
+StopCounts StopEntry(ProcessSite& aSite, int aEntry, Duration aGrace)
+{
+  DaemonProcess& entry = aSite.Entry(aEntry);
+  Instant termAt = aSite.Loop().Now();
+  ProcessSite::Signal(entry, SIGTERM);
+  aSite.RunUntil(
+    [&] { return entry.m_hasEnded || aSite.Loop().Now() >= termAt + aGrace; });
+  ProcessSite::Signal(entry, SIGKILL);
+  Instant killAt = aSite.Loop().Now();
+  aSite.RunUntil([&] { return entry.m_hasEnded; });
+  aSite.StopCallers();
+  aSite.RunFor(milliseconds(300));
+  StopCounts counts;
+  for (const auto& request : aSite.Requests()) {
+    if (request->m_endedAt < termAt && request->m_isDone) {
+      continue;
+    }
+    if (request->m_isComplete) {
+      (request->m_status == 200 ? counts.m_answered : counts.m_refused) += 1;
+      continue;
+    }
+    bool isCounted = request->m_isPassedOn ||
+                     request->m_endedAt > request->m_sentAt + kLostTime;
+    bool isAtWork = request->m_isPassedOn &&
+                    (!request->m_ranUntil ||
+                     *request->m_ranUntil >= termAt + aGrace - aGrace / 6);
+    bool isExcused = isAtWork && request->m_sentAt <= termAt + kExcusedTime;
+    if (!isCounted || isExcused) {
+      counts.m_excused += 1;
+      continue;
+    }
+    counts.m_lost += 1;
+    MESSAGE(request->m_id,
+            ": sent ",
+            ToMilliseconds(request->m_sentAt - termAt),
+            " ms after SIGTERM, ended after ",
+            ToMilliseconds(request->m_endedAt - termAt),
+            " ms, passed on: ",
+            request->m_isPassedOn);
+  }
+  MESSAGE("ended ",
+          ToMilliseconds(killAt - termAt),
+          " ms after SIGTERM: answered ",
+          counts.m_answered,
+          ", refused ",
+          counts.m_refused,
+          ", excused ",
+          counts.m_excused,
+          ", lost ",
+          counts.m_lost);
+  return counts;
+}
+
+} // namespace
+
+// Guards against requests that a stopping host has read and never answers.
+TEST_CASE("a stop of an entry host loses no request")
+{
+  struct Row
+  {
+    const char* m_name;
+    const char* m_path;
+    int m_callers;
+    Duration m_longestAnswer;
+  };
+  for (const Row& row : {
+         Row{ "generations that wait for a place",
+              "/stream/x",
+              72,
+              milliseconds(12000) },
+         Row{ "slow calls that run at most once",
+              "/unsafe/x",
+              48,
+              milliseconds(8000) },
+       }) {
+    CAPTURE(std::string(row.m_name));
+    ProcessSiteOptions options;
+    options.m_longestAnswer = row.m_longestAnswer;
+    ProcessSite site(options);
+    site.Start();
+    site.StartCallers(row.m_callers, row.m_path, 0);
+    site.RunFor(seconds(4));
+    StopCounts counts = StopEntry(site, 0, seconds(options.m_graceSeconds));
+    CHECK(counts.m_lost == 0);
+    CHECK(counts.m_answered > 0);
+    // The host ends by itself, before the platform kills it.
+    CHECK(WIFEXITED(site.Entry(0).m_status));
+    CHECK(WEXITSTATUS(site.Entry(0).m_status) == 0);
+  }
+}
+
 // Guards against responses that are written but not sent when a host ends.
 TEST_CASE("a stopping host sends a caller that reads slowly its whole response")
 {
--- a/unittests/Proxy/ResponsesTest.cpp
+++ b/unittests/Proxy/ResponsesTest.cpp
@@ -371,3 +371,39 @@
   CHECK(ReceivedText(pending->m_response.m_body) == "ab");
   CHECK(pending->m_response.m_body.find("[DONE]") != std::string::npos);
 }
+
+// Guards against requests that a shutdown cuts without a response.
+TEST_CASE("a shutdown ends what is still open before the process is killed")
+{
+  TestSite site;
+  std::vector<Writer> held;
+  FakeUpstream engine(site.Loop(),
+                      [&](const HttpRequest& aRequest, const Writer& aWriter) {
+                        if (IsCompletion(aRequest)) {
+                          held.push_back(aWriter);
+                          if (held.size() == 1) {
+                            SendPartialStream(aWriter, TokenEvent(0, "a"));
+                          }
+                        }
+                      });
+  FakeUpstream orders(site.Loop(), [&](const auto&, const Writer& aWriter) {
+    held.push_back(aWriter);
+  });
+  site.Announce("engine", engine.Listen(site.AddressPrefix() + ".9"));
+  auto streamed = site.Start(CompletionRequestOf(kStreamingBody));
+  site.RunUntil([&] { return held.size() == 1; });
+  auto unstarted = site.Start(CompletionRequestOf(kStreamingBody));
+  site.RunUntil([&] { return held.size() == 2; });
+  site.Announce(
+    "orders", orders.Listen(site.AddressPrefix() + ".10"), "orders");
+  auto order = site.Start(OrderRequestOf("key-1", "{}"));
+  site.RunUntil([&] { return held.size() == 3; });
+  site.Host(0).BeginShutdown();
+  site.RunUntil([&] {
+    return streamed->m_isDone && unstarted->m_isDone && order->m_isDone;
+  });
+  CHECK(streamed->m_status.ok());
+  CHECK(streamed->m_response.m_body.find("interrupted") != std::string::npos);
+  CHECK(JsonAt(unstarted->m_response.m_body, "/error/ran") == "unknown");
+  CHECK(JsonAt(order->m_response.m_body, "/error/kind") == "outcome_unknown");
+}
--- a/unittests/Proxy/TestSite.cpp
+++ b/unittests/Proxy/TestSite.cpp
@@ -70,7 +70,8 @@
   text += "\n[state]\ndata_dir = " + m_folder + "/" + std::to_string(aHost) +
           "\nbootstrap_hosts = " + names +
           "\nvoters = " + std::to_string(aCount) + "\n[limits]\n" +
-          "header_timeout_ms = 500\nshutdown_grace_ms = 100\n" +
+          "header_timeout_ms = 500\nshutdown_grace_ms = 100\nshutdown_limit_s "
+          "= 1.5\n" +
           "max_body_bytes = 65536\n";
   text += "[keys]\n";
   for (const auto& [name, key] :
--- a/unittests/Support/SettingsTest.cpp
+++ b/unittests/Support/SettingsTest.cpp
@@ -172,7 +172,10 @@
        { Row{ "[state]\ntolerated_losses = 4\n", "[state] tolerated_losses" },
          Row{ "[state]\nfound_group = maybe\n", "[state] found_group" },
          Row{ "[listen]\ncallers = nowhere\n", "a.ini" },
-         Row{ "[limits]\nshutdown_grace_ms = -1\n", "shutdown_grace_ms" } }) {
+         Row{ "[limits]\nshutdown_grace_ms = -1\n", "shutdown_grace_ms" },
+         Row{ "[limits]\nshutdown_limit_s = -1\n", "shutdown_limit_s" },
+         Row{ "[limits]\nshutdown_limit_s = nan\n", "shutdown_limit_s" },
+         Row{ "[limits]\nshutdown_limit_s = 8 s\n", "shutdown_limit_s" } }) {
     CAPTURE(row.m_addedText);
     auto settings = ParseSettings("a.ini", RoutedHostSettings(row.m_addedText));
     REQUIRE_FALSE(settings.ok());
