--- a/include/persimmontally/Support/Settings.h
+++ b/include/persimmontally/Support/Settings.h
@@ -112,12 +112,16 @@
 /// messages. A syntax error is reported with its line; otherwise the error
 /// lists every invalid setting on a line of its own, with file, section, key
 /// and reason.
+/// `aOverrides` lists settings that replace those of the text, as
+/// SECTION.KEY=VALUE separated by commas. An empty value overrides nothing.
 absl::StatusOr<Settings> ParseSettings(const std::string& aFile,
-                                       const std::string& aText);
+                                       const std::string& aText,
+                                       const std::string& aOverrides = "");
 
 /// Reads a settings file and parses it as `ParseSettings` does. Both also read
 /// the key files that the settings name.
-absl::StatusOr<Settings> LoadSettings(const std::string& aFile);
+absl::StatusOr<Settings> LoadSettings(const std::string& aFile,
+                                      const std::string& aOverrides = "");
 
 /// Returns a Markdown table of all settings.
 std::string SettingsReference();
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -205,7 +205,7 @@
   {
   }
 
-  absl::Status Parse()
+  absl::Status Parse(const std::string& aOverrides)
   {
     std::istringstream in(m_text);
     try {
@@ -214,6 +214,22 @@
       return absl::InvalidArgumentError(
         m_file + ":" + std::to_string(error.line()) + ": " + error.message());
     }
+    for (const std::string& entry : SplitList(aOverrides)) {
+      size_t dot = entry.find('.');
+      size_t equals = entry.find('=');
+      if (dot == std::string::npos || equals == std::string::npos ||
+          dot > equals) {
+        return absl::InvalidArgumentError("override '" + entry +
+                                          "' is not SECTION.KEY=VALUE");
+      }
+      if (equals + 1 == entry.size()) {
+        continue;
+      }
+      std::string path =
+        entry.substr(0, dot) + "/" + entry.substr(dot + 1, equals - dot - 1);
+      m_tree.put(boost::property_tree::ptree::path_type(path, '/'),
+                 entry.substr(equals + 1));
+    }
     CheckForUnknownKeys();
     return absl::OkStatus();
   }
@@ -487,10 +503,11 @@
 }
 
 absl::StatusOr<Settings> ParseSettings(const std::string& aFile,
-                                       const std::string& aText)
+                                       const std::string& aText,
+                                       const std::string& aOverrides)
 {
   SettingsReader reader(aFile, aText);
-  absl::Status parseStatus = reader.Parse();
+  absl::Status parseStatus = reader.Parse(aOverrides);
   if (!parseStatus.ok()) {
     return parseStatus;
   }
@@ -550,7 +567,8 @@
   return out;
 }
 
-absl::StatusOr<Settings> LoadSettings(const std::string& aFile)
+absl::StatusOr<Settings> LoadSettings(const std::string& aFile,
+                                      const std::string& aOverrides)
 {
   std::ifstream in(aFile);
   if (!in) {
@@ -558,7 +576,7 @@
   }
   std::stringstream text;
   text << in.rdbuf();
-  return ParseSettings(aFile, text.str());
+  return ParseSettings(aFile, text.str(), aOverrides);
 }
 
 std::string SettingsReference()
--- a/tools/persimmontallyd/main.cpp
+++ b/tools/persimmontallyd/main.cpp
@@ -13,6 +13,9 @@
 #include <iostream>
 
 DEFINE_string(config, "", "INI file with the settings of this host");
+DEFINE_string(set,
+              "",
+              "settings that override the file, as SECTION.KEY=VALUE,...");
 DEFINE_bool(check_config, false, "check the settings and exit");
 DEFINE_bool(print_settings, false, "print the settings reference and exit");
 
@@ -35,7 +38,7 @@
 /// the current settings.
 static void ReloadSettings(RoutedHost& aHost)
 {
-  auto settings = LoadSettings(FLAGS_config);
+  auto settings = LoadSettings(FLAGS_config, FLAGS_set);
   if (!settings.ok()) {
     WriteLog(LogLevel::Error,
              "settings_refused",
@@ -48,13 +51,14 @@
 int main(int argc, char** argv)
 {
   EventLoop::PrepareSignals();
-  gflags::SetUsageMessage("persimmontallyd --config FILE [--check_config]");
+  gflags::SetUsageMessage(
+    "persimmontallyd --config FILE [--set LIST] [--check_config]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_print_settings) {
     std::cout << SettingsReference();
     return 0;
   }
-  auto settings = LoadSettings(FLAGS_config);
+  auto settings = LoadSettings(FLAGS_config, FLAGS_set);
   if (!settings.ok()) {
     std::cerr << settings.status().message() << "\n";
     return 2;
--- a/unittests/Process/ProcessSite.cpp
+++ b/unittests/Process/ProcessSite.cpp
@@ -107,7 +107,6 @@
     { "{{data-dir}}", m_folder + "/" + aProcess.m_name + ".data" },
     { "{{bootstrap}}", "true" },
     { "{{tolerate.machines}}", "1" },
-    { "{{bounds.grace-s}}", std::to_string(m_options.m_graceSeconds) },
   };
   std::string text =
     ReadFile(std::string(PERSIMMONTALLY_SOURCE_DIR) + "/deploy/" +
@@ -128,6 +127,30 @@
   return path;
 }
 
+/// Returns the arguments with which the platform runs a role.
+std::vector<std::string> ProcessSite::RunWords(const std::string& aSettings,
+                                               bool aIsControl) const
+{
+  std::string deploy =
+    ReadFile(std::string(PERSIMMONTALLY_SOURCE_DIR) + "/deploy/system.toml");
+  size_t role = deploy.find(aIsControl ? "[roles.control]" : "[roles.entry]");
+  constexpr std::string_view kRun = "run = \"";
+  size_t begin = deploy.find(kRun, role) + kRun.size();
+  std::istringstream run(deploy.substr(begin, deploy.find('"', begin) - begin));
+  std::vector<std::string> words;
+  std::string word;
+  run >> word;
+  while (run >> word) {
+    constexpr std::string_view kGrace = "{{bounds.grace-s}}";
+    size_t at = word.find(kGrace);
+    if (at != std::string::npos) {
+      word.replace(at, kGrace.size(), std::to_string(m_options.m_graceSeconds));
+    }
+    words.push_back(word.ends_with("/local.yaml") ? aSettings : word);
+  }
+  return words;
+}
+
 void ProcessSite::StartProcess(DaemonProcess& aProcess, int aOutput)
 {
   std::string settings = WriteSettings(aProcess);
@@ -146,10 +169,12 @@
   }
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
   std::string program = DaemonPath();
-  std::string flag = "--config";
-  std::vector<char*> arguments = {
-    program.data(), flag.data(), settings.data(), nullptr
-  };
+  std::vector<std::string> words = RunWords(settings, aProcess.m_isControl);
+  std::vector<char*> arguments = { program.data() };
+  for (std::string& word : words) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
   aProcess.m_hasEnded = false;
   REQUIRE(::posix_spawn(&aProcess.m_pid,
                         program.c_str(),
--- a/unittests/Process/ProcessSite.h
+++ b/unittests/Process/ProcessSite.h
@@ -122,6 +122,8 @@
   };
   using Writer = std::shared_ptr<ResponseWriter>;
 
+  std::vector<std::string> RunWords(const std::string& aSettings,
+                                    bool aIsControl) const;
   void AddUpstream(const std::string& aId, const std::string& aService);
   void Announce(Upstream& aUpstream);
   void Serve(Upstream& aUpstream,
--- a/unittests/Support/SettingsTest.cpp
+++ b/unittests/Support/SettingsTest.cpp
@@ -183,3 +183,34 @@
           std::string::npos);
   }
 }
+
+TEST_CASE("overrides replace settings of the file and are checked like them")
+{
+  struct Row
+  {
+    const char* m_overrides;
+    /// Part of the error; empty if there is none.
+    const char* m_error;
+    Duration m_limit;
+  };
+  for (const Row& row :
+       { Row{ "limits.shutdown_limit_s=7.5", "", milliseconds(7500) },
+         Row{ "limits.shutdown_limit_s=", "", seconds(3) },
+         Row{ "", "", seconds(3) },
+         Row{ "limits.shutdown_limit_s=x", "shutdown_limit_s", {} },
+         Row{ "limits.nothing=1", "unknown key", {} },
+         Row{ "shutdown_limit_s=1", "SECTION.KEY=VALUE", {} } }) {
+    CAPTURE(std::string(row.m_overrides));
+    auto settings =
+      ParseSettings("a.ini",
+                    RoutedHostSettings("[limits]\nshutdown_limit_s = 3\n"),
+                    row.m_overrides);
+    REQUIRE(settings.ok() == (*row.m_error == '\0'));
+    if (settings.ok()) {
+      CHECK(settings->m_shutdownLimit == row.m_limit);
+    } else {
+      CHECK(std::string(settings.status().message()).find(row.m_error) !=
+            std::string::npos);
+    }
+  }
+}
