[Net] Destroy the action of a cancelled timer

Cause: cancelling a timer cleared a flag, and the wait held the action until it expired. Now the wait ends, and the action is destroyed in the next iteration of the loop.

--- a/include/persimmontally/Net/EventLoop.h
+++ b/include/persimmontally/Net/EventLoop.h
@@ -10,14 +10,16 @@
 
 struct LoopContext;
 
+struct TimerState;
+
 /// Handle of a scheduled action; destroying it cancels the action. A
 /// default-constructed handle refers to no action.
 class Timer
 {
 public:
   Timer() = default;
-  explicit Timer(std::shared_ptr<bool> aArmed)
-    : m_armed(std::move(aArmed))
+  explicit Timer(std::weak_ptr<TimerState> aState)
+    : m_state(std::move(aState))
   {
   }
   ~Timer() { Cancel(); }
@@ -25,20 +27,16 @@
   Timer& operator=(Timer&& aOther) noexcept
   {
     Cancel();
-    m_armed = std::move(aOther.m_armed);
+    m_state = std::move(aOther.m_state);
     return *this;
   }
 
-  void Cancel()
-  {
-    if (m_armed) {
-      *m_armed = false;
-      m_armed.reset();
-    }
-  }
+  /// Cancels the action, and destroys it in the next event loop iteration.
+  void Cancel();
 
 private:
-  std::shared_ptr<bool> m_armed;
+  /// Owned by the event loop while the action is scheduled.
+  std::weak_ptr<TimerState> m_state;
 };
 
 /// Single-threaded event loop of a process: all actions run on the thread that
@@ -76,10 +74,6 @@
   LoopContext& Context() { return *m_context; }
 
 private:
-  void ScheduleNextRun(std::shared_ptr<bool> aArmed,
-                       Duration aPeriod,
-                       std::shared_ptr<std::function<void()>> aAction);
-
   std::unique_ptr<LoopContext> m_context;
 };
 
--- a/lib/Net/EventLoop.cpp
+++ b/lib/Net/EventLoop.cpp
@@ -59,48 +59,62 @@
   boost::asio::post(m_context->m_io, std::move(aAction));
 }
 
-static void StartTimer(LoopContext& aContext,
-                       Duration aDelay,
-                       std::shared_ptr<bool> aArmed,
-                       std::function<void()> aAction)
-{
-  auto timer = std::make_shared<boost::asio::steady_timer>(aContext.m_io);
-  timer->expires_after(aDelay);
-  timer->async_wait(
-    [timer, armed = std::move(aArmed), action = std::move(aAction)](
-      const boost::system::error_code& aError) {
-      if (!aError && *armed) {
-        action();
-      }
-    });
-}
+/// A scheduled action. Each wait holds it, so that it is destroyed when a wait
+/// ends that is not followed by another.
+struct TimerState
+{
+  TimerState(boost::asio::io_context& aContext, std::function<void()> aAction)
+    : m_timer(aContext)
+    , m_action(std::move(aAction))
+  {
+  }
 
-Timer EventLoop::RunAfter(Duration aDelay, std::function<void()> aAction)
+  boost::asio::steady_timer m_timer;
+  std::function<void()> m_action;
+  bool m_isArmed = true;
+};
+
+void Timer::Cancel()
 {
-  auto armed = std::make_shared<bool>(true);
-  StartTimer(*m_context, aDelay, armed, std::move(aAction));
-  return Timer(armed);
+  auto state = m_state.lock();
+  m_state.reset();
+  if (state) {
+    state->m_isArmed = false;
+    state->m_timer.cancel();
+  }
 }
 
-void EventLoop::ScheduleNextRun(std::shared_ptr<bool> aArmed,
-                                Duration aPeriod,
-                                std::shared_ptr<std::function<void()>> aAction)
+static void StartWait(const std::shared_ptr<TimerState>& aState,
+                      Duration aDelay,
+                      bool aIsPeriodic)
 {
-  StartTimer(*m_context, aPeriod, aArmed, [this, aArmed, aPeriod, aAction] {
-    (*aAction)();
-    if (*aArmed) {
-      ScheduleNextRun(aArmed, aPeriod, aAction);
+  aState->m_timer.expires_after(aDelay);
+  aState->m_timer.async_wait([state = aState, aDelay, aIsPeriodic](
+                               const boost::system::error_code& aError) {
+    if (aError || !state->m_isArmed) {
+      return;
+    }
+    state->m_action();
+    if (aIsPeriodic && state->m_isArmed) {
+      StartWait(state, aDelay, aIsPeriodic);
     }
   });
 }
 
+Timer EventLoop::RunAfter(Duration aDelay, std::function<void()> aAction)
+{
+  auto state =
+    std::make_shared<TimerState>(m_context->m_io, std::move(aAction));
+  StartWait(state, aDelay, false);
+  return Timer(state);
+}
+
 Timer EventLoop::RunEvery(Duration aPeriod, std::function<void()> aAction)
 {
-  auto armed = std::make_shared<bool>(true);
-  ScheduleNextRun(armed,
-                  aPeriod,
-                  std::make_shared<std::function<void()>>(std::move(aAction)));
-  return Timer(armed);
+  auto state =
+    std::make_shared<TimerState>(m_context->m_io, std::move(aAction));
+  StartWait(state, aPeriod, true);
+  return Timer(state);
 }
 
 static void WaitForReload(LoopContext& aContext,
