[Proxy] Handle no event after the attempt that it belongs to has failed

An engine that skips a token and sends two events after the gap in one piece ended the entry host of the completions API by a segmentation fault: the first event fails the attempt and drops its call, the second cancels that call. Found by reading; the new test crashed before. Events are handled only while the attempt has its call.

--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -227,18 +227,20 @@
 {
   auto self = shared_from_this();
   bool ok = m_parser.Feed(aData, [this](const SseEvent& aEvent) {
-    if (!m_isClosed && m_state == AttemptState::Sent) {
+    // An earlier event of the same bytes may have failed the attempt.
+    if (!m_isClosed && m_call) {
       OnEvent(aEvent);
     }
   });
-  if (!ok && !m_isClosed) {
+  if (m_isClosed || !m_call) {
+    return;
+  }
+  if (!ok) {
     m_call->Cancel();
     OnAttemptFailed("the upstream sent an oversized event");
     return;
   }
-  if (!m_isClosed) {
-    PauseUpstreamIfCallerIsSlow();
-  }
+  PauseUpstreamIfCallerIsSlow();
 }
 
 void CompletionFlow::OnEvent(const SseEvent& aEvent)
--- a/unittests/Proxy/ResponsesTest.cpp
+++ b/unittests/Proxy/ResponsesTest.cpp
@@ -407,3 +407,24 @@
   CHECK(JsonAt(unstarted->m_response.m_body, "/error/ran") == "unknown");
   CHECK(JsonAt(order->m_response.m_body, "/error/kind") == "outcome_unknown");
 }
+
+// Guards against an engine that ends the process by two wrong events at once.
+TEST_CASE("an engine that skips tokens fails its request and nothing else")
+{
+  TestSite site;
+  FakeUpstream upstream(
+    site.Loop(), [&](const HttpRequest& aRequest, const Writer& aWriter) {
+      if (IsCompletion(aRequest)) {
+        SendPartialStream(aWriter,
+                          TokenEvent(0, "a") + TokenEvent(2, "c") +
+                            TokenEvent(3, "d"));
+        aWriter->Finish();
+        return;
+      }
+      aWriter->SendResponse({ 404, {}, "" });
+    });
+  site.Announce("engine", upstream.Listen(site.AddressPrefix() + ".9"));
+  HttpResponse response = site.Call(CompletionRequestOf(kStreamingBody));
+  CHECK(ReceivedText(response.m_body) == "a");
+  CHECK(response.m_body.find("interrupted") != std::string::npos);
+}
