[Net] Bound heads, chunk sizes and trailers by the buffer that they are parsed from

Cause: the parser's limits are on the head and the body, and the buffer had none. Chunk sizes and trailers are parsed as a whole, so a limit on the buffer bounds them.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -309,6 +309,9 @@
   }
 
   static constexpr size_t kChunkBytes = 4096;
+  /// Bytes that wait to be parsed: heads, chunk sizes and trailers are parsed as
+  /// a whole, so that this also bounds each of them.
+  static constexpr size_t kMaxUnparsedBytes = size_t(64) << 10;
 
   std::shared_ptr<IdleConnections> m_idleConnections;
   Endpoint m_server;
@@ -316,7 +319,7 @@
   HttpCallTimeouts m_timeouts;
   HttpCallEvents m_events;
   std::string m_requestBytes;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ kMaxUnparsedBytes };
   http::response_parser<http::buffer_body> m_parser;
   std::array<char, kChunkBytes> m_chunk{};
   bool m_isHead = false;
--- a/lib/Net/HttpServer.cpp
+++ b/lib/Net/HttpServer.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// Bytes that a connection reads at a time.
+constexpr size_t kReadBytes = size_t(64) << 10;
+
 class Connection;
 
 /// State shared by all connections of one server.
@@ -177,6 +180,8 @@
 
 void Connection::ReadRequest()
 {
+  // Chunk sizes and trailers are parsed as a whole and have no other limit.
+  m_buffer.max_size(m_server->m_limits.m_maxHeaderBytes + kReadBytes);
   m_parser.emplace();
   m_parser->header_limit(
     static_cast<uint32_t>(m_server->m_limits.m_maxHeaderBytes));
--- a/unittests/Forwarding/EndlessBytesTest.cpp
+++ b/unittests/Forwarding/EndlessBytesTest.cpp
@@ -94,3 +94,51 @@
     }
   }
 }
+
+// Guards against heads, chunk sizes and trailers that fill the memory of a call
+// with a long timeout.
+TEST_CASE("a call ends early at bytes without end that are no part of a body")
+{
+  constexpr size_t kMaxBytes = size_t(16) << 20;
+  const std::string letters(0x10000, 'x');
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct Row
+  {
+    const char* m_name;
+    std::string m_prefix;
+    std::string m_pattern;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "a header", "HTTP/1.1 200 OK\r\nX: ", letters },
+         { "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+         { "a chunk size", head, std::string(0x10000, '0') },
+         { "a chunk extension", head + "1;", letters },
+         { "a quoted chunk extension", head + "1;a=\"", letters },
+         { "one trailer", head + "0\r\nX: ", letters },
+         { "trailers", head + "0\r\n", "X: " + letters.substr(2000) + "\r\n" },
+         { "small trailers", head + "0\r\n", "X: y\r\n" } }) {
+    CAPTURE(std::string(row.m_name));
+    EventLoop loop;
+    std::string pattern = row.m_pattern;
+    while (pattern.size() < 0x10000) {
+      pattern += row.m_pattern;
+    }
+    RawUpstream upstream(loop, row.m_prefix, pattern);
+    bool isEnded = false;
+    HttpCallEvents events;
+    events.m_onEnd = [&](const absl::Status&) {
+      isEnded = true;
+      loop.Stop();
+    };
+    StartHttpCall(loop,
+                  upstream.Address(),
+                  { "POST", "/", {}, "" },
+                  { seconds(1), seconds(60) },
+                  std::move(events));
+    Timer limit = loop.RunAfter(seconds(5), [&] { loop.Stop(); });
+    loop.Run();
+    CHECK(isEnded);
+    CHECK(upstream.SentBytes() < kMaxBytes);
+  }
+}
--- a/unittests/Net/HttpTest.cpp
+++ b/unittests/Net/HttpTest.cpp
@@ -43,6 +43,13 @@
           static_cast<ssize_t>(aBytes.size()));
   }
 
+  /// Sends as many bytes as the socket takes and returns their number.
+  size_t TrySend(const std::string& aBytes) const
+  {
+    ssize_t sent = ::send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    return sent > 0 ? static_cast<size_t>(sent) : 0;
+  }
+
   /// Reads the available bytes and records whether the server has closed the
   /// connection.
   void Read()
@@ -136,6 +143,51 @@
   CHECK(caller.m_received.starts_with("HTTP/1.1 413"));
 }
 
+// Guards against callers that fill the memory with what is no part of a body.
+TEST_CASE("a request with chunk sizes or trailers without end is refused early")
+{
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  constexpr size_t kMaxBytes = size_t(16) << 20;
+  const std::string letters(0x10000, 'x');
+  struct Row
+  {
+    const char* m_name;
+    std::string m_prefix;
+    std::string m_pattern;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "a chunk size", head, std::string(0x10000, '0') },
+         { "a chunk extension", head + "1;", letters },
+         { "one trailer", head + "0\r\nX: ", letters },
+         { "small trailers", head + "0\r\n", "X: y\r\n" },
+         { "a header", "POST / HTTP/1.1\r\nHost: a\r\nX: ", letters } }) {
+    CAPTURE(std::string(row.m_name));
+    EventLoop loop;
+    int handled = 0;
+    HttpServer server(
+      loop, HttpLimits(), [&](const auto&, const auto&) { ++handled; });
+    auto port = server.Listen({ "127.0.0.1", 0 });
+    REQUIRE(port.ok());
+    RawCaller caller(*port);
+    caller.Send(row.m_prefix);
+    std::string pattern = row.m_pattern;
+    while (pattern.size() < 0x10000) {
+      pattern += row.m_pattern;
+    }
+    size_t sent = 0;
+    Instant end = loop.Now() + seconds(3);
+    RunUntil(loop, [&] {
+      sent += caller.TrySend(pattern);
+      caller.Read();
+      return caller.m_isClosed || loop.Now() >= end;
+    });
+    CHECK(sent < kMaxBytes);
+    CHECK(caller.m_received.starts_with("HTTP/1.1 4"));
+    CHECK(handled == 0);
+  }
+}
+
 // Guards against a second head inside the body of a response.
 TEST_CASE("a response that is started twice is broken off")
 {
