[Forwarding, Net, Proxy] Bound the responses that are kept in memory together

Cause: each body had a limit of 16 MB, and all together none; responses to the host's own calls had none at all.

Now a body that is not used is not kept, all that are kept have 32 MiB together, beyond which the request with the largest one fails, and buffered calls have a limit.

--- a/include/persimmontally/Forwarding/ForwardGateway.h
+++ b/include/persimmontally/Forwarding/ForwardGateway.h
@@ -44,6 +44,8 @@
   size_t m_streamBufferBytes = 64 * 1024;
   /// Maximum size of a response that is buffered until it is complete.
   size_t m_maxResponseBytes = size_t(16) << 20;
+  /// The same for all responses together.
+  size_t m_maxBufferedBytes = size_t(32) << 20;
   /// Tokens per event of a stream.
   uint32_t m_tokensPerEvent = 4;
 };
@@ -82,6 +84,12 @@
   /// balancer has had time to stop sending requests to this host.
   void StopAcceptingRequests() { m_acceptsRequests = false; }
   const RateLimits& Limits() const { return m_rateLimits; }
+  /// Bytes of responses that are kept until they are complete.
+  size_t BufferedBytes() const { return m_bufferedBytes; }
+  /// Counts such bytes. If there are too many, fails the request whose response
+  /// is the largest.
+  void AddBufferedBytes(size_t aCount);
+  void RemoveBufferedBytes(size_t aCount) { m_bufferedBytes -= aCount; }
   size_t OpenRequests() const
   {
     return m_flows.size() + m_earlyRequests.size();
@@ -197,6 +205,7 @@
   uint64_t m_checkedPoison = 0;
   std::string m_idPrefix;
   uint64_t m_nextId = 1;
+  size_t m_bufferedBytes = 0;
   bool m_acceptsRequests = true;
   /// When the host ends, once that is known.
   std::optional<Instant> m_endsBy;
--- a/include/persimmontally/Net/HttpClient.h
+++ b/include/persimmontally/Net/HttpClient.h
@@ -93,14 +93,21 @@
                                         HttpCallTimeouts aTimeouts,
                                         HttpCallEvents aEvents);
 
+/// Largest response body that a buffered call keeps, in bytes.
+constexpr size_t kMaxBufferedBody = size_t(16) << 20;
+/// The same for a call whose response body is not used.
+constexpr size_t kMaxUnusedBody = size_t(64) << 10;
+
 /// Starts a request on a new connection and calls `aOnEnd` once with the whole
-/// response. If the status is not OK, the response is incomplete or empty.
+/// response. If the status is not OK, the response is incomplete or empty;
+/// `ResourceExhausted` if its body exceeds `aMaxBodyBytes`.
 std::shared_ptr<HttpCall> StartBufferedHttpCall(
   EventLoop& aLoop,
   const Endpoint& aServer,
   HttpRequest aRequest,
   HttpCallTimeouts aTimeouts,
-  std::function<void(absl::Status, HttpResponse)> aOnEnd);
+  std::function<void(absl::Status, HttpResponse)> aOnEnd,
+  size_t aMaxBodyBytes = kMaxBufferedBody);
 
 } // namespace persimmontally
 
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -189,7 +189,7 @@
     order.m_backup = m_backup.m_endpoint;
   }
   m_head = ResponseHead();
-  m_body.clear();
+  ClearBody();
   HttpRequest request =
     m_gateway.Protocol().EncodeForUpstream(m_request, order);
   // The idle timeout lies after the deadline, so that the deadline timer ends
@@ -216,11 +216,38 @@
     ForwardEvents(aData);
     return;
   }
+  if (!m_head.m_isGenuine) {
+    // The head decides what becomes of the request.
+    m_unusedBytes += aData.size();
+    if (m_unusedBytes > kMaxUnusedBody) {
+      m_call->Cancel();
+      m_call.reset();
+      OnResponseEnd();
+    }
+    return;
+  }
   m_body.append(aData);
+  m_gateway.AddBufferedBytes(aData.size());
   if (m_body.size() > m_gateway.Options().m_maxResponseBytes) {
+    FailOversized();
+  }
+}
+
+void ForwardFlow::FailOversized()
+{
+  if (m_call) {
     m_call->Cancel();
-    OnAttemptFailed("the response is too large");
+    m_call.reset();
   }
+  ClearBody();
+  OnAttemptFailed("the response is too large");
+}
+
+void ForwardFlow::ClearBody()
+{
+  m_gateway.RemoveBufferedBytes(m_body.size());
+  m_body = std::string();
+  m_unusedBytes = 0;
 }
 
 void ForwardFlow::OnCallEnd(const absl::Status& aStatus)
@@ -283,8 +310,9 @@
   if (m_head.m_status < kFirstServerError) {
     m_gateway.Crashes().OnSound(m_crashKeys);
   }
+  m_gateway.RemoveBufferedBytes(m_body.size());
   m_writer->SendResponse(
-    { m_head.m_status, m_head.m_headers, std::move(m_body) });
+    { m_head.m_status, m_head.m_headers, std::exchange(m_body, "") });
   Close(DispatchOutcome::Finished,
         m_head.m_status < kFirstErrorStatus ? "finished" : "upstream_error");
 }
@@ -617,6 +645,7 @@
     return;
   }
   ReleasePlacement(aOutcome);
+  ClearBody();
   m_state = State::Ended;
   m_deadlineTimer.Cancel();
   if (m_call) {
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -48,6 +48,11 @@
   /// yet, and breaks off a stream.
   void EndForShutdown();
 
+  /// Bytes of the response that are kept until it is complete.
+  size_t BufferedBytes() const { return m_body.size(); }
+  /// Fails the current attempt because its response takes too much memory.
+  void FailOversized();
+
   /// Ends a request that is queued, or that its upstream is still reading, if
   /// it is now known to crash upstreams.
   void EndIfQuarantined();
@@ -112,6 +117,7 @@
   void CheckResponseId();
   void RecordUpstreamStatements();
   void OnData(std::string_view aData);
+  void ClearBody();
   void OnCallEnd(const absl::Status& aStatus);
   void OnStreamEnd(const absl::Status& aStatus);
   /// Passes on the end of a complete stream.
@@ -184,6 +190,8 @@
   std::shared_ptr<HttpCall> m_call;
   ResponseHead m_head;
   std::string m_body;
+  /// Size of a response body that is not kept, because it is not used.
+  size_t m_unusedBytes = 0;
   EventSplitter m_events;
   bool m_isPaused = false;
 
--- a/lib/Forwarding/ForwardGateway.cpp
+++ b/lib/Forwarding/ForwardGateway.cpp
@@ -8,6 +8,7 @@
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
+#include <algorithm>
 #include <set>
 
 namespace persimmontally {
@@ -198,6 +199,22 @@
   SchedulePlacement();
 }
 
+void ForwardGateway::AddBufferedBytes(size_t aCount)
+{
+  m_bufferedBytes += aCount;
+  if (m_bufferedBytes <= m_options.m_maxBufferedBytes) {
+    return;
+  }
+  auto largest = std::max_element(
+    m_flows.begin(), m_flows.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.second->BufferedBytes() < aOther.second->BufferedBytes();
+    });
+  if (largest != m_flows.end()) {
+    std::shared_ptr<ForwardFlow> flow = largest->second;
+    flow->FailOversized();
+  }
+}
+
 // Periodic work: placement, exchange of the ledger and due migrations.
 
 void ForwardGateway::SchedulePlacement()
--- a/lib/Forwarding/LiveCopy.cpp
+++ b/lib/Forwarding/LiveCopy.cpp
@@ -8,6 +8,8 @@
 /// Timeout for one copy. Copies queue on the links, and a reclaimed engine is
 /// gone about two seconds after its notice.
 static constexpr Duration kCopyTimeout = milliseconds(2500);
+/// Far more than an engine's response to a request for a copy.
+static constexpr size_t kMaxCopyResponseBytes = size_t(64) << 10;
 
 LiveCopy::LiveCopy(ForwardGateway& aGateway,
                    std::string aRequestId,
@@ -39,7 +41,8 @@
     [self = shared_from_this()](const absl::Status& aStatus,
                                 const HttpResponse& aResponse) {
       self->OnResponse(aStatus, aResponse);
-    });
+    },
+    kMaxCopyResponseBytes);
 }
 
 void LiveCopy::OnResponse(const absl::Status& aStatus,
@@ -82,14 +85,16 @@
   if (m_handle.empty()) {
     return;
   }
-  StartBufferedHttpCall(m_gateway.Loop(),
-                        m_source,
-                        m_gateway.Protocol().EncodeDropCopy(m_handle),
-                        { m_gateway.Options().m_connectTimeout, seconds(1) },
-                        [](const absl::Status&, const HttpResponse&) {
-                          // If the request fails, the engine frees the unused
-                          // copy itself after a while.
-                        });
+  StartBufferedHttpCall(
+    m_gateway.Loop(),
+    m_source,
+    m_gateway.Protocol().EncodeDropCopy(m_handle),
+    { m_gateway.Options().m_connectTimeout, seconds(1) },
+    [](const absl::Status&, const HttpResponse&) {
+      // If the request fails, the engine frees the unused
+      // copy itself after a while.
+    },
+    kMaxCopyResponseBytes);
 }
 
 void LiveCopy::Cancel()
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -309,8 +309,8 @@
   }
 
   static constexpr size_t kChunkBytes = 4096;
-  /// Bytes that wait to be parsed: heads, chunk sizes and trailers are parsed as
-  /// a whole, so that this also bounds each of them.
+  /// Bytes that wait to be parsed: heads, chunk sizes and trailers are parsed
+  /// as a whole, so that this also bounds each of them.
   static constexpr size_t kMaxUnparsedBytes = size_t(64) << 10;
 
   std::shared_ptr<IdleConnections> m_idleConnections;
@@ -382,22 +382,40 @@
   const Endpoint& aServer,
   HttpRequest aRequest,
   HttpCallTimeouts aTimeouts,
-  std::function<void(absl::Status, HttpResponse)> aOnEnd)
+  std::function<void(absl::Status, HttpResponse)> aOnEnd,
+  size_t aMaxBodyBytes)
 {
-  auto response = std::make_shared<HttpResponse>();
+  struct Result
+  {
+    HttpResponse m_response;
+    std::function<void(absl::Status, HttpResponse)> m_onEnd;
+    std::weak_ptr<HttpCall> m_call;
+  };
+  auto result = std::make_shared<Result>();
+  result->m_onEnd = std::move(aOnEnd);
   HttpCallEvents events;
-  events.m_onHead = [response](int aStatus, const HttpHeaders& aHeaders) {
-    response->m_status = aStatus;
-    response->m_headers = aHeaders;
+  events.m_onHead = [result](int aStatus, const HttpHeaders& aHeaders) {
+    result->m_response.m_status = aStatus;
+    result->m_response.m_headers = aHeaders;
   };
-  events.m_onData = [response](std::string_view aData) {
-    response->m_body.append(aData);
+  events.m_onData = [result, aMaxBodyBytes](std::string_view aData) {
+    result->m_response.m_body.append(aData);
+    auto call = result->m_call.lock();
+    if (result->m_response.m_body.size() > aMaxBodyBytes && call) {
+      // Cancelling destroys this function, but not its captured result.
+      auto kept = result;
+      call->Cancel();
+      kept->m_onEnd(absl::ResourceExhaustedError("the response is too large"),
+                    HttpResponse());
+    }
   };
-  events.m_onEnd = [response, onEnd = std::move(aOnEnd)](absl::Status aStatus) {
-    onEnd(std::move(aStatus), std::move(*response));
+  events.m_onEnd = [result](absl::Status aStatus) {
+    result->m_onEnd(std::move(aStatus), std::move(result->m_response));
   };
-  return StartHttpCall(
+  auto call = StartHttpCall(
     aLoop, aServer, std::move(aRequest), aTimeouts, std::move(events));
+  result->m_call = call;
+  return call;
 }
 
 } // namespace persimmontally
--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -325,6 +325,11 @@
   if (text != nullptr && text->is_string()) {
     m_responseText.append(text->as_string());
   }
+  if (m_responseText.size() > kMaxBufferedBody) {
+    m_call->Cancel();
+    OnAttemptFailed("the response is too large");
+    return;
+  }
   const json::value* reason = choice->as_object().if_contains("finish_reason");
   if (reason != nullptr && reason->is_string()) {
     m_finishReason = std::string(reason->as_string());
@@ -540,11 +545,13 @@
   request.m_method = "DELETE";
   request.m_target = "/v1/generations/" + m_generation.Value();
   request.m_headers = UpstreamHeaders();
-  StartBufferedHttpCall(m_gateway.Loop(),
-                        m_upstreamEndpoint,
-                        std::move(request),
-                        { m_gateway.Options().m_connectTimeout, seconds(1) },
-                        [](const absl::Status&, const HttpResponse&) {});
+  StartBufferedHttpCall(
+    m_gateway.Loop(),
+    m_upstreamEndpoint,
+    std::move(request),
+    { m_gateway.Options().m_connectTimeout, seconds(1) },
+    [](const absl::Status&, const HttpResponse&) {},
+    kMaxUnusedBody);
 }
 
 void CompletionFlow::Close(DispatchOutcome aOutcome, const char* aResult)
--- a/lib/Proxy/Gateway.cpp
+++ b/lib/Proxy/Gateway.cpp
@@ -528,16 +528,17 @@
   HttpRequest request;
   request.m_method = "GET";
   request.m_target = "/healthz";
-  StartBufferedHttpCall(m_loop,
-                        entry->m_row.m_endpoint,
-                        std::move(request),
-                        { kDeathProbeTimeout, kDeathProbeTimeout },
-                        [this, id = aId, aIncarnation](
-                          const absl::Status& aStatus, const HttpResponse&) {
-                          bool refused =
-                            aStatus.code() == absl::StatusCode::kUnavailable;
-                          EndDeathCheck(id, aIncarnation, refused);
-                        });
+  StartBufferedHttpCall(
+    m_loop,
+    entry->m_row.m_endpoint,
+    std::move(request),
+    { kDeathProbeTimeout, kDeathProbeTimeout },
+    [this, id = aId, aIncarnation](const absl::Status& aStatus,
+                                   const HttpResponse&) {
+      bool refused = aStatus.code() == absl::StatusCode::kUnavailable;
+      EndDeathCheck(id, aIncarnation, refused);
+    },
+    kMaxUnusedBody);
 }
 
 void Gateway::EndDeathCheck(const UpstreamId& aId,
--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -302,8 +302,15 @@
     response->m_status = aStatus;
     response->m_headers = aHeaders;
   };
-  events.m_onData = [response](std::string_view aData) {
+  events.m_onData = [weak, response](std::string_view aData) {
     response->m_body.append(aData);
+    auto self = weak.lock();
+    if (response->m_body.size() > kMaxBufferedBody && self &&
+        self->m_httpCall) {
+      self->m_httpCall->Cancel();
+      self->OnCallEnd(absl::ResourceExhaustedError("the response is too large"),
+                      {});
+    }
   };
   events.m_onEnd = [weak, response](const absl::Status& aStatus) {
     auto self = weak.lock();
--- a/unittests/Forwarding/EndlessBytesTest.cpp
+++ b/unittests/Forwarding/EndlessBytesTest.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace persimmontally;
 
 TEST_CASE("bytes without end from an upstream end the request and the "
@@ -95,6 +97,101 @@
   }
 }
 
+// Guards against responses to the host's own calls that fill its memory.
+TEST_CASE("a buffered call ends when its response is too large")
+{
+  struct Row
+  {
+    const char* m_name;
+    size_t m_maxBytes;
+    size_t m_bodyBytes;
+    bool m_isComplete;
+  };
+  for (const Row& row : { Row{ "at the limit", 1000, 1000, true },
+                          Row{ "above the limit", 1000, 1001, false },
+                          Row{ "without end", 1000, 0, false } }) {
+    CAPTURE(std::string(row.m_name));
+    EventLoop loop;
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    if (row.m_bodyBytes > 0) {
+      head += "Content-Length: " + std::to_string(row.m_bodyBytes) + "\r\n";
+    }
+    RawUpstream upstream(
+      loop,
+      head + "\r\n",
+      std::string(std::max<size_t>(1, row.m_bodyBytes), 'x'));
+    std::optional<absl::Status> ended;
+    size_t received = 0;
+    int ends = 0;
+    StartBufferedHttpCall(
+      loop,
+      upstream.Address(),
+      { "POST", "/", {}, "" },
+      HttpCallTimeouts(),
+      [&](const absl::Status& aStatus, const HttpResponse& aResponse) {
+        ended = aStatus;
+        received = aResponse.m_body.size();
+        ++ends;
+        loop.Stop();
+      },
+      row.m_maxBytes);
+    Timer limit = loop.RunAfter(seconds(10), [&] { loop.Stop(); });
+    loop.Run();
+    REQUIRE(ended.has_value());
+    CHECK(ended->ok() == row.m_isComplete);
+    CHECK(absl::IsResourceExhausted(*ended) == !row.m_isComplete);
+    CHECK(received == (row.m_isComplete ? row.m_bodyBytes : 0));
+    Timer later = loop.RunAfter(milliseconds(50), [&] { loop.Stop(); });
+    loop.Run();
+    CHECK(ends == 1);
+  }
+}
+
+// Guards against the bytes of many faulty responses that together exceed the
+// memory, and against others that fail with them.
+TEST_CASE("the responses that are kept are bounded together, and the largest "
+          "one fails")
+{
+  constexpr size_t kRequests = 12;
+  ForwardSite site;
+  const size_t maxBytes = ForwardOptions().m_maxBufferedBytes;
+  const size_t largeBytes =
+    std::min(ForwardOptions().m_maxResponseBytes, maxBytes / 8 * 3);
+  int requests = 0;
+  size_t most = 0;
+  site.AddUpstream(
+    "u",
+    "plain",
+    [&](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
+      bool isLarge = requests++ < 4;
+      aWriter->StartStream(200, Genuine(aRequest));
+      aWriter->Write(std::string(isLarge ? largeBytes : 1000, 'x'));
+      if (!isLarge) {
+        aWriter->Finish();
+        return;
+      }
+      // Held open, so that all large ones are kept at the same time.
+      aWriter->OnDrained([aWriter] {});
+    });
+  std::vector<std::shared_ptr<ForwardSite::Call>> calls;
+  for (size_t i = 0; i < kRequests; ++i) {
+    calls.push_back(site.Start("/unsafe/x", { { "X-Api-Key", "key" } }));
+  }
+  site.RunUntil([&] {
+    most = std::max(most, site.Gateway().BufferedBytes());
+    return std::all_of(calls.begin(), calls.end(), [](const auto& aCall) {
+      return aCall->m_isDone;
+    });
+  });
+  auto isServed = [](const auto& aCall) {
+    return aCall->m_status.ok() && aCall->m_response.m_status == 200;
+  };
+  CHECK(most <= maxBytes);
+  CHECK(most > largeBytes);
+  CHECK(std::count_if(calls.begin(), calls.end(), isServed) == kRequests - 4);
+  CHECK(site.Gateway().BufferedBytes() == 0);
+}
+
 // Guards against heads, chunk sizes and trailers that fill the memory of a call
 // with a long timeout.
 TEST_CASE("a call ends early at bytes without end that are no part of a body")
--- a/unittests/Process/ProcessSite.cpp
+++ b/unittests/Process/ProcessSite.cpp
@@ -205,6 +205,16 @@
   }
 }
 
+double ProcessSite::PeakMemoryMb(const DaemonProcess& aProcess)
+{
+  std::string status =
+    ReadFile("/proc/" + std::to_string(aProcess.m_pid) + "/status");
+  constexpr std::string_view kName = "VmHWM:";
+  size_t at = status.find(kName);
+  REQUIRE(at != std::string::npos);
+  return std::stod(status.substr(at + kName.size())) / 1024;
+}
+
 std::string ProcessSite::LogOf(const DaemonProcess& aProcess) const
 {
   return ReadFile(m_folder + "/" + aProcess.m_name + ".log");
@@ -348,6 +358,14 @@
 {
   std::string id(aRequest.Header("Request-Id"));
   HttpHeaders headers = { { "Request-Id", id }, { "Server-Stamp", "s" } };
+  if (aUpstream.m_service == "plain" && m_options.m_isPlainEndless) {
+    if (!m_options.m_isPlainGenuine) {
+      headers.pop_back();
+    }
+    aWriter->StartStream(200, headers);
+    SendWithoutEnd(aWriter);
+    return;
+  }
   if (aUpstream.m_running >= m_options.m_slots) {
     headers.push_back({ "Not-Run", "1" });
     aWriter->SendResponse({ 503, headers, "" });
@@ -383,6 +401,14 @@
     });
 }
 
+void ProcessSite::SendWithoutEnd(const Writer& aWriter)
+{
+  constexpr size_t kPartBytes = size_t(64) << 10;
+  aWriter->OnDrained(
+    [aWriter, part = std::string(kPartBytes, 'x')] { aWriter->Write(part); });
+  aWriter->Write("x");
+}
+
 void ProcessSite::StreamEvents(Upstream& aUpstream,
                                const std::string& aId,
                                const Writer& aWriter,
--- a/unittests/Process/ProcessSite.h
+++ b/unittests/Process/ProcessSite.h
@@ -37,6 +37,10 @@
   Duration m_longestAnswer = milliseconds(500);
   /// Size of the responses of the plain service.
   size_t m_plainBytes = 4;
+  /// Whether the plain service answers with bytes without end, and whether
+  /// these responses look genuine.
+  bool m_isPlainEndless = false;
+  bool m_isPlainGenuine = true;
   /// Time between SIGTERM and SIGKILL, as the settings state it.
   int m_graceSeconds = 8;
 };
@@ -100,6 +104,8 @@
   /// Returns a request to a route as text, with an id of its own.
   std::string RequestText(const std::string& aPath);
   Endpoint CallersOf(const DaemonProcess& aProcess) const;
+  /// Returns the largest resident size that a running process has had, in MB.
+  static double PeakMemoryMb(const DaemonProcess& aProcess);
   /// Returns what a process has written to its standard output.
   std::string LogOf(const DaemonProcess& aProcess) const;
 
@@ -129,6 +135,7 @@
   void Serve(Upstream& aUpstream,
              const HttpRequest& aRequest,
              const Writer& aWriter);
+  static void SendWithoutEnd(const Writer& aWriter);
   void StreamEvents(Upstream& aUpstream,
                     const std::string& aId,
                     const Writer& aWriter,
