--- a/unittests/Process/ProcessSite.cpp
+++ b/unittests/Process/ProcessSite.cpp
@@ -285,6 +285,7 @@
       order->m_isDone = true;
       order->m_isComplete = aStatus.ok();
       order->m_status = aStatus.ok() ? aResponse.m_status : 0;
+      order->m_body = aResponse.m_body;
     });
   return order;
 }
--- a/unittests/Process/ProcessSite.h
+++ b/unittests/Process/ProcessSite.h
@@ -57,6 +57,8 @@
   bool m_isDone = false;
   bool m_isComplete = false;
   int m_status = 0;
+  /// Body of the response to an operator's request.
+  std::string m_body;
 };
 
 /// Three control and three entry hosts as real processes on the loopback
