[Forwarding] Report the crash of an engine during a migration off it

Cause: the engine was known as gone an instant before its stream broke off, so a migration had begun, and neither the end of the stream nor the failed migration reported the crash. Now a source that breaks off its stream and leaves the call for the copy unanswered is reported.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -401,14 +401,17 @@
     FinishStream();
     return;
   }
-  std::string reason(aStatus.ok() ? "the stream ends without a length"
-                                  : aStatus.message());
+  std::string reason(isBrokenOff    ? "the stream ends inside an event"
+                     : aStatus.ok() ? "the stream ends with its engine"
+                                    : aStatus.message());
   m_events.Restart();
   if (isMigrating) {
     // An engine closes the stream when it stops a generation for a migration.
     m_isSourceStreamEnded = true;
+    m_isSourceBrokenOff = isBrokenOff || absl::IsAborted(aStatus);
     m_state = State::Migrating;
     if (m_resume) {
+      ReportDeathDuringMigration();
       ResumeAt(std::exchange(m_rescueCopy, Copy()));
     }
     return;
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -149,6 +149,7 @@
   bool IsEndAnnounced() const;
   void SwitchToBackup(const std::string& aReason);
   void OnMigrationEnd(const LiveCopy::Outcome& aOutcome);
+  void ReportDeathDuringMigration();
   void ResumeAt(Copy aCopy);
   void CancelMigration();
   void OnDeadline();
@@ -207,6 +208,10 @@
   std::optional<ResumePoint> m_resume;
   /// Whether the source engine has closed its stream.
   bool m_isSourceStreamEnded = false;
+  /// Whether that stream was broken off, as by a crash of the engine.
+  bool m_isSourceBrokenOff = false;
+  /// Whether the source has left the last call for a copy unanswered.
+  bool m_isCopyUnanswered = false;
   /// Whether the stream ended like a complete one, so that only the result of
   /// the migration or of the resume shows whether it is.
   bool m_isPerhapsComplete = false;
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -168,6 +168,10 @@
     return;
   }
   m_liveCopy.reset();
+  m_isCopyUnanswered = !aOutcome.m_isAnswered;
+  if (m_isSourceStreamEnded) {
+    ReportDeathDuringMigration();
+  }
   if (!aOutcome.m_isStopped) {
     m_rejectingTargets.insert(m_rescueCopy.m_upstream);
     ReleaseCopy(m_rescueCopy);
@@ -190,11 +194,23 @@
   }
 }
 
+/// Reports a source that has broken off both the stream and the call for a copy
+/// to the crash watch, unless its end was announced.
+void ForwardFlow::ReportDeathDuringMigration()
+{
+  if (m_isSourceBrokenOff && m_isCopyUnanswered &&
+      !(IsEndAnnounced() && m_arePartsSound)) {
+    ReportBrokenOff([](bool) {});
+  }
+}
+
 /// Resumes the generation at the engine that holds a copy of its KV memory.
 void ForwardFlow::ResumeAt(Copy aCopy)
 {
   m_resume->m_lastEventId = m_events.LastId();
   m_isSourceStreamEnded = false;
+  m_isSourceBrokenOff = false;
+  m_isCopyUnanswered = false;
   m_state = State::Migrating;
   ++m_resumes;
   WriteLog(LogLevel::Info,
--- a/lib/Forwarding/ForwardQuarantine.cpp
+++ b/lib/Forwarding/ForwardQuarantine.cpp
@@ -32,7 +32,8 @@
 
 void ForwardFlow::ReportBrokenOff(std::function<void(bool)> aOnProbed)
 {
-  CrashSuspect suspect{ m_crashKeys, m_state == State::Streaming };
+  bool hasBegun = m_state == State::Streaming || m_state == State::Migrating;
+  CrashSuspect suspect{ m_crashKeys, hasBegun };
   if (m_arePartsSound) {
     suspect.m_keys.m_parts.clear();
   }
--- a/lib/Forwarding/LiveCopy.cpp
+++ b/lib/Forwarding/LiveCopy.cpp
@@ -77,7 +77,8 @@
   m_isEnded = true;
   // An engine that answers without a handle had no such generation to stop.
   bool hasHandle = aStatus.ok() ? !answer.m_handle.empty() : !m_handle.empty();
-  m_callback({ answer.m_isCopied, m_isLast && hasHandle, m_handle });
+  m_callback(
+    { answer.m_isCopied, m_isLast && hasHandle, aStatus.ok(), m_handle });
 }
 
 void LiveCopy::FreeCopy()
--- a/lib/Forwarding/LiveCopy.h
+++ b/lib/Forwarding/LiveCopy.h
@@ -23,6 +23,8 @@
     /// Whether the source has stopped the generation, which must then resume
     /// from `m_handle`.
     bool m_isStopped = false;
+    /// Whether the source has answered the last call.
+    bool m_isAnswered = false;
     std::string m_handle;
   };
   using Callback = std::function<void(const Outcome&)>;
--- a/unittests/Forwarding/CrashingPartTest.cpp
+++ b/unittests/Forwarding/CrashingPartTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Forwarding/CrashSite.h"
 #include "persimmontally/Routing/CrashEvidence.h"
+#include "persimmontally/Support/Metrics.h"
 
 #include <doctest/doctest.h>
 
@@ -47,6 +48,59 @@
   CHECK(site.m_deaths == 1);
 }
 
+// Guards against a death that is no evidence because its engine had been
+// announced as leaving or gone an instant before.
+TEST_CASE("the death of an engine during a migration off it is counted")
+{
+  for (bool isLast : { false, true }) {
+    CAPTURE(isLast);
+    ForwardSite site(false);
+    Writer stream;
+    Timer last;
+    // The stream breaks off before the call for the copy does.
+    auto die = [&](const Writer& aCopy) {
+      site.Kill("source");
+      stream->Abort();
+      last =
+        site.Loop().RunAfter(milliseconds(20), [aCopy] { aCopy->Abort(); });
+    };
+    site.AddUpstream(
+      "source",
+      "engines",
+      [&](const HttpRequest& aRequest, const Writer& aWriter) {
+        if (aRequest.m_target.find("kv-move") == std::string::npos) {
+          stream = aWriter;
+          aWriter->StartStream(200, Genuine(aRequest));
+          aWriter->Write(Event(1));
+          return;
+        }
+        bool isLastCall = aRequest.m_body.find("last") != std::string::npos;
+        if (isLastCall == isLast) {
+          site.Loop().Post([&die, aWriter] { die(aWriter); });
+          return;
+        }
+        aWriter->SendResponse({ 200, {}, R"({"handle":"h1"})" });
+      });
+    auto call = site.Start("/stream/x",
+                           { { "X-Api-Key", "key" },
+                             { "Token-Count", "100,400" },
+                             { "Length-Hint", "400" },
+                             { "Prefix-Hash", "p:50,u:50" } });
+    site.RunUntil([&] { return !call->m_response.m_body.empty(); });
+    site.AddUpstream(
+      "target", "engines", [](const HttpRequest&, const Writer& aWriter) {
+        aWriter->SendResponse({ 503, { { "Not-Run", "1" } }, "" });
+      });
+    site.SetState("source", UpstreamState::Leaving);
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(!call->m_status.ok());
+    site.RunUntil([&] {
+      return site.Counters().PrometheusText().find("upstream_deaths_total 1") !=
+             std::string::npos;
+    });
+  }
+}
+
 // Guards against quarantine by connections that break while the engine lives.
 TEST_CASE("broken connections to an engine that is up quarantine nothing")
 {
