[Forwarding] Break off a stopped stream that is rejected where it resumes

Found when the diff was read: since generations wait for the end of their engine, an unframed stream that its engine had stopped for a migration counted as complete when the next engine rejected it as not run. Only the end of a reclaimed engine may be that of a complete stream; once a migration has stopped the generation, it is not. The new row of UnframedResponseTest saw a complete response before.

--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -411,6 +411,7 @@
     m_isSourceBrokenOff = isBrokenOff || absl::IsAborted(aStatus);
     m_state = State::Migrating;
     if (m_resume) {
+      m_isPerhapsComplete = false;
       ReportDeathDuringMigration();
       ResumeAt(std::exchange(m_rescueCopy, Copy()));
     }
@@ -493,7 +494,7 @@
 {
   m_gateway.Counters().Add("turned_away_total");
   --m_unrejectedSends;
-  if (m_isPerhapsComplete && !m_liveCopy) {
+  if (m_isPerhapsComplete) {
     // The engine drops the backup of a generation that has ended.
     FinishStream();
     return;
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -183,6 +183,7 @@
     }
     return;
   }
+  m_isPerhapsComplete = false;
   m_resume = ResumePoint{ m_upstreamEndpoint, aOutcome.m_handle, "" };
   if (!aOutcome.m_isCopied) {
     // The source still holds the KV memory, so the generation resumes there.
--- a/unittests/Forwarding/UnframedResponseTest.cpp
+++ b/unittests/Forwarding/UnframedResponseTest.cpp
@@ -94,9 +94,14 @@
     /// Response to the request that stops the generation for a migration.
     std::string m_lastResponse;
     std::string m_body;
+    bool m_isTargetFull = false;
   };
   for (const Row& row : std::vector<Row>{
          { "stopped", copied, Event(1) + Event(2) + Event(3) },
+         { "stopped, and rejected where it resumes",
+           copied,
+           Event(1) + Event(2),
+           true },
          { "complete",
            "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
            Event(1) + Event(2) } }) {
@@ -128,15 +133,21 @@
     site.AddUpstream(
       "target",
       "engines",
-      [](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
+      [&](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
         CHECK(aRequest.Header("Last-Event-Id") == "2");
+        if (row.m_isTargetFull) {
+          HttpHeaders headers = Genuine(aRequest);
+          headers.push_back({ "Not-Run", "1" });
+          aWriter->SendResponse({ 503, headers, "" });
+          return;
+        }
         aWriter->StartStream(200, Genuine(aRequest));
         aWriter->Write(Event(3));
         aWriter->Finish();
       });
     site.SetState("source", UpstreamState::Leaving);
     site.RunUntil([&] { return call->m_isDone; });
-    CHECK(call->m_status.ok());
+    CHECK(call->m_status.ok() == !row.m_isTargetFull);
     CHECK(call->m_response.m_body == row.m_body);
   }
 }
