--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -402,11 +402,11 @@
     result->m_response.m_body.append(aData);
     auto call = result->m_call.lock();
     if (result->m_response.m_body.size() > aMaxBodyBytes && call) {
-      // Cancelling destroys this function, but not its captured result.
-      auto kept = result;
+      // Cancelling destroys this function with its captures.
+      auto onEnd = std::move(result->m_onEnd);
       call->Cancel();
-      kept->m_onEnd(absl::ResourceExhaustedError("the response is too large"),
-                    HttpResponse());
+      onEnd(absl::ResourceExhaustedError("the response is too large"),
+            HttpResponse());
     }
   };
   events.m_onEnd = [result](absl::Status aStatus) {
--- a/unittests/Process/ProcessSite.cpp
+++ b/unittests/Process/ProcessSite.cpp
@@ -13,8 +13,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace persimmontally {
 
 static constexpr uint16_t kCallersPort = 8740;
