--- a/unittests/Process/SignalTest.cpp
+++ b/unittests/Process/SignalTest.cpp
@@ -46,8 +46,14 @@
       }
     };
     write(true);
+    // The first reading has ended once the host runs.
+    site.RunUntil([&] {
+      return process->m_hasEnded ||
+             site.LogOf(*process).find("event=started") != std::string::npos;
+    });
     write(false);
     site.RunFor(milliseconds(500));
+    CAPTURE(site.LogOf(*process));
     CHECK(!process->m_hasEnded);
     CHECK(site.LogOf(*process).find("settings_reloaded") != std::string::npos);
   }
