[Review] A stream goes on at its backup while its server still runs it

A server sends bytes that are no response within a stream; the host closes the connection and resumes at the backup at once, while the server that was cut off by the host still works on the request.

--- a/review/standins-2/Engine.h
+++ b/review/standins-2/Engine.h
@@ -25,6 +25,11 @@
   /// queued on the links before them.
   double m_firstMove = 0.3;
   double m_lastMove = 0.1;
+  /// Event after which it sends bytes that are no part of a response, as long
+  /// as `Fabric` has some left.
+  int m_garbageAfter = 40;
+  /// How long it works on a request whose connection has been closed.
+  double m_linger = 0;
 };
 
 class Engine;
@@ -35,6 +40,8 @@
   std::mutex m_mutex;
   /// Handle to the events that are made, for copies at a target.
   std::map<std::string, int> m_copies;
+  /// How often an engine still sends bytes that are no part of a response.
+  std::atomic<int> m_garbageLeft = 0;
 };
 
 class Engine
@@ -95,6 +102,14 @@
     return 0;
   }
   double DrainedAt() const { return m_drainedAt; }
+  /// Until when it has worked on a request; 0 if it has not, and a time far
+  /// ahead while it does.
+  double WorkedUntil(const std::string& aRequest)
+  {
+    std::lock_guard lock(m_runsMutex);
+    auto at = m_workedUntil.find(aRequest);
+    return at == m_workedUntil.end() ? 0 : at->second;
+  }
 
   /// Withdraws itself and ends, with all that it runs.
   void Leave()
@@ -235,6 +250,14 @@
     {
       std::lock_guard lock(m_runsMutex);
       m_runs[request] = run;
+      m_workedUntil[request] = 1e9;
+    }
+    std::string backup = Find(aRequest.m_headers, "Kv-Backup");
+    if (!backup.empty()) {
+      m_record.Line("server " + Id() + ": keeps a backup of " + request +
+                    " at " + backup);
+      std::lock_guard lock(m_fabric.m_mutex);
+      m_fabric.m_copies[request] = 0;
     }
     std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + request +
                        "\r\nServer-Stamp: stamp." + Id() +
@@ -243,7 +266,8 @@
                        "Connection: close\r\n\r\n";
     bool isSent = aSocket.Write(text);
     auto next = Clock::now();
-    for (int id = begin + 1; id <= m_options.m_events && isSent; ++id) {
+    double closedAt = 0;
+    for (int id = begin + 1; id <= m_options.m_events; ++id) {
       next += std::chrono::duration_cast<Clock::duration>(
         std::chrono::duration<double>(m_options.m_period));
       std::this_thread::sleep_until(next);
@@ -251,6 +275,23 @@
         isSent = false;
         break;
       }
+      if (!isSent) {
+        // It has lost its connection.
+        closedAt = closedAt == 0 ? m_record.Now() : closedAt;
+        if (m_record.Now() > closedAt + m_options.m_linger) {
+          break;
+        }
+        run->m_made = id;
+        continue;
+      }
+      if (id - 1 == m_options.m_garbageAfter &&
+          m_fabric.m_garbageLeft.fetch_sub(1) > 0) {
+        m_record.Line("server " + Id() + ": sends bytes that are no response "
+                      "after event " + std::to_string(id - 1));
+        isSent = aSocket.Write("\x01#?!~ \x02\r\n") && !IsClosed(aSocket);
+        run->m_made = id;
+        continue;
+      }
       std::string event =
         "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
       char size[16];
@@ -266,13 +307,26 @@
                    : isSent         ? " is complete"
                                     : " is broken off") +
                   " after event " + std::to_string(run->m_made));
+    if (isSent && !backup.empty()) {
+      std::lock_guard lock(m_fabric.m_mutex);
+      m_fabric.m_copies.erase(request);
+    }
     std::lock_guard lock(m_runsMutex);
+    m_workedUntil[request] = m_record.Now();
     if (!run->m_isStopped) {
       m_runs.erase(request);
     }
     return false;
   }
 
+  /// Whether the peer closes the connection within 0.1 s.
+  static bool IsClosed(Socket& aSocket)
+  {
+    std::string ignored;
+    int got = aSocket.ReadSome(ignored, 0.1);
+    return got == 0 || got == -1;
+  }
+
   static std::string Field(const std::string& aJson, const std::string& aName)
   {
     size_t at = aJson.find("\"" + aName + "\":\"");
@@ -340,6 +394,7 @@
   std::mutex m_beatMutex;
   std::mutex m_runsMutex;
   std::map<std::string, std::shared_ptr<Run>> m_runs;
+  std::map<std::string, double> m_workedUntil;
   std::atomic<int> m_nextHandle = 1;
   Server m_server;
   std::thread m_announcer;
