[Review] A stream of a crashed server ends as complete

A stream without length or chunks whose server is killed between two events is passed on as a complete one.

--- a/review/standins-2/Engine.h
+++ b/review/standins-2/Engine.h
@@ -28,6 +28,8 @@
   /// Event after which it sends bytes that are no part of a response, as long
   /// as `Fabric` has some left.
   int m_garbageAfter = 40;
+  /// Whether its streams have neither a length nor chunks.
+  bool m_isUnframed = false;
   /// How long it works on a request whose connection has been closed.
   double m_linger = 0;
 };
@@ -262,8 +264,9 @@
     std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: " + request +
                        "\r\nServer-Stamp: stamp." + Id() +
                        "\r\nWeights-Version: 1\r\nContent-Type: "
-                       "text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                       "Connection: close\r\n\r\n";
+                       "text/event-stream\r\nConnection: close\r\n";
+    text += m_options.m_isUnframed ? "\r\n"
+                                   : "Transfer-Encoding: chunked\r\n\r\n";
     bool isSent = aSocket.Write(text);
     auto next = Clock::now();
     double closedAt = 0;
@@ -296,10 +299,11 @@
         "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-      isSent = aSocket.Write(size + event + "\r\n");
+      isSent = aSocket.Write(m_options.m_isUnframed ? event
+                                                    : size + event + "\r\n");
       run->m_made = id;
     }
-    if (isSent) {
+    if (isSent && !m_options.m_isUnframed) {
       aSocket.Write("0\r\n\r\n");
     }
     m_record.Line("server " + Id() + ": its run of " + request +
--- a/review/standins-2/Site.h
+++ b/review/standins-2/Site.h
@@ -60,11 +60,13 @@
 class Record
 {
 public:
-  explicit Record(const std::string& aPath)
+  explicit Record(const std::string& aPath,
+                  Clock::time_point aStart = Clock::now())
     : m_out(aPath)
-    , m_start(Clock::now())
+    , m_start(aStart)
   {
   }
+  Clock::time_point Start() const { return m_start; }
   double Now() const
   {
     return std::chrono::duration<double>(Clock::now() - m_start).count();
@@ -605,6 +607,16 @@
     fs::create_directories(DataDir(aNode));
   }
 
+  /// Copies the record of another process into this one's.
+  void CopyRecord(const std::string& aPath)
+  {
+    std::ifstream in(aPath);
+    std::string line;
+    while (std::getline(in, line)) {
+      m_record.Line("  at " + line);
+    }
+  }
+
   /// Copies lines of a process's log with one of `aWords` into the record.
   void RecordLog(const Node& aNode, const std::vector<std::string>& aWords)
   {
