--- a/review/standins-2/Garbage.cpp
+++ b/review/standins-2/Garbage.cpp
@@ -1,4 +1,4 @@
-// Case 8: a server sends bytes that are no response in the middle of a stream
+// Case 7: a server sends bytes that are no response in the middle of a stream
 // and works on. The host closes the connection and resumes the stream at the
 // server with the backup, while the first one still works on it.
 
--- a/review/standins-2/Moves.cpp
+++ b/review/standins-2/Moves.cpp
@@ -1,4 +1,4 @@
-// Case 7: a stream is moved off a server that leaves, and the server that it is
+// Case 8: a stream is moved off a server that leaves, and the server that it is
 // moved to begins to leave meanwhile. The stream is sent there all the same,
 // later than `drain-ms` after that was acknowledged.
 
--- a/review/standins-2/Site.h
+++ b/review/standins-2/Site.h
@@ -446,14 +446,19 @@
     , m_zones(std::move(aZones))
   {
     std::random_device random;
-    m_network = "127." + std::to_string(20 + random() % 200) + "." +
-                std::to_string(1 + random() % 250) + ".";
+    do {
+      m_network = "127." + std::to_string(20 + random() % 200) + "." +
+                  std::to_string(1 + random() % 250) + ".";
+    } while (!IsFree(Ip(1), kControlPort) || !IsFree(Ip(11), kCallersPort));
     std::string pattern =
       (fs::temp_directory_path() / "review-2-XXXXXX").string();
     m_folder = ::mkdtemp(pattern.data()) == nullptr ? "" : pattern;
+    m_watch = std::thread([this] { Watch(); });
   }
   ~Site()
   {
+    m_hasEnded = true;
+    m_watch.join();
     for (auto& [name, node] : m_nodes) {
       Kill(node, SIGKILL);
     }
@@ -705,7 +710,39 @@
   }
 
 private:
+  static bool IsFree(const std::string& aIp, int aPort)
+  {
+    Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(static_cast<uint16_t>(aPort));
+    ::inet_pton(AF_INET, aIp.c_str(), &at.sin_addr);
+    return ::bind(socket.Fd(), reinterpret_cast<sockaddr*>(&at), sizeof at) ==
+           0;
+  }
+
+  /// Ends all processes and the case before the longest time that it may take.
+  void Watch()
+  {
+    while (!m_hasEnded && m_record.Now() < 112) {
+      Sleep(0.05);
+    }
+    if (!m_hasEnded) {
+      m_record.Line("the case takes too long");
+      for (auto& [name, node] : m_nodes) {
+        if (node.m_pid > 0) {
+          ::kill(node.m_pid, SIGKILL);
+        }
+      }
+      std::error_code ignored;
+      fs::remove_all(m_folder, ignored);
+      std::_Exit(kCouldNotRun);
+    }
+  }
+
   Record& m_record;
+  std::atomic<bool> m_hasEnded = false;
+  std::thread m_watch;
   std::map<std::string, std::string> m_zones;
   std::string m_network;
   std::string m_folder;
