[State] Replace voters whose hosts no table names

Cause: the repair took a voter whose host the membership table lacks for a sound one. The table is not durable and hosts that restart do not learn of hosts that are gone, so the successor never became a voter. Change: the leader counts a member without a row as lost once it has left the replication unanswered for replace_voter_after_s. The group's log names the members and the silence is observed anew, so nothing that a restart loses is needed. Nothing is removed as surplus unless all voters are up: a group that restarted between promotion and removal removed the successor.

--- a/include/persimmontally/State/RaftNode.h
+++ b/include/persimmontally/State/RaftNode.h
@@ -122,6 +122,10 @@
   /// Returns whether a member holds all committed entries and has replied
   /// within the election timeout.
   bool HasCaughtUp(Instant aNow, const DiskId& aMember) const;
+  /// Returns the time since a member last replied to this leader or, before its
+  /// first reply, since this leader began to replicate to it. Zero for members
+  /// to which this member does not replicate.
+  Duration SilenceOf(Instant aNow, const DiskId& aMember) const;
   /// Returns whether this member is the leader, has committed an entry of its
   /// own term and has no uncommitted configuration change.
   bool CanChangeConfig() const;
@@ -134,6 +138,8 @@
     uint64_t m_next = 1;
     /// Highest log index known to be on the member's disk.
     uint64_t m_match = 0;
+    /// Time of the last reply or, before the first, of the start of
+    /// replication.
     Instant m_lastContactAt;
     Instant m_snapshotSentAt;
     bool m_wasContacted = false;
--- a/include/persimmontally/State/VoterRepair.h
+++ b/include/persimmontally/State/VoterRepair.h
@@ -4,6 +4,7 @@
 #include "persimmontally/Support/Time.h"
 #include "persimmontally/Wire/RaftMessage.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +37,10 @@
   std::vector<DiskHost> m_hosts;
   /// Learners that hold all committed entries.
   std::vector<DiskId> m_caughtUp;
+  /// Time for which each other member has left the leader's replication
+  /// unanswered. Unlike `m_hosts`, this covers members whose hosts are gone and
+  /// that the leader has never had in its table, as after a restart.
+  std::map<DiskId, Duration> m_silence;
   size_t m_targetVoters = 3;
   /// Time for which a member must be down before it counts as lost.
   Duration m_replaceAfter{ 0 };
@@ -54,6 +59,7 @@
 /// Returns the next single-member change towards the target number of voters:
 /// add a learner, promote it once it has caught up, then remove a lost or
 /// surplus voter. Returns nothing if no change is needed or possible now.
+/// Nothing is removed as surplus unless all voters are up.
 std::optional<RepairStep> PlanRepairStep(const RepairView& aView);
 
 } // namespace persimmontally
--- a/lib/State/RaftLeader.cpp
+++ b/lib/State/RaftLeader.cpp
@@ -62,6 +62,13 @@
          at->second.m_lastContactAt + m_options.m_electionTimeout >= aNow;
 }
 
+Duration RaftNode::SilenceOf(Instant aNow, const DiskId& aMember) const
+{
+  auto at = m_progress.find(aMember);
+  return at == m_progress.end() ? Duration(0)
+                                : aNow - at->second.m_lastContactAt;
+}
+
 // Start of a term, and its periodic work.
 
 void RaftNode::BecomeLeader(Instant aNow)
@@ -145,6 +152,7 @@
   Progress& progress = at->second;
   if (isNew) {
     progress.m_next = LastIndex() + 1;
+    progress.m_lastContactAt = aNow;
   }
   if (progress.m_next <= m_snapshot.m_index) {
     bool sentRecently =
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -190,6 +190,9 @@
                              aNow - peer.m_downSince.value_or(aNow) });
   }
   for (const GroupMember& member : view.m_config.m_members) {
+    if (member.m_disk != m_disk) {
+      view.m_silence[member.m_disk] = m_raft->SilenceOf(aNow, member.m_disk);
+    }
     if (!member.m_votes && m_raft->HasCaughtUp(aNow, member.m_disk)) {
       view.m_caughtUp.push_back(member.m_disk);
     }
--- a/lib/State/VoterRepair.cpp
+++ b/lib/State/VoterRepair.cpp
@@ -1,7 +1,6 @@
 #include "persimmontally/State/VoterRepair.h"
 
 #include <algorithm>
-#include <map>
 
 namespace persimmontally {
 
@@ -49,19 +48,36 @@
 
   /// Returns whether a member is to be replaced: it has been down for
   /// `m_replaceAfter`, or its disk is unknown and its host is alive with
-  /// another data folder or has been down for that long.
+  /// another data folder or has been down for that long. A member whose host
+  /// the table lacks as well counts as lost after being silent for that long:
+  /// the table is not durable, and rows of hosts that are gone expire.
   bool IsLost(const GroupMember& aMember) const
   {
     const DiskHost* host = FindDisk(aMember.m_disk);
     if (host != nullptr) {
       return !host->m_isAlive && host->m_downFor >= m_view.m_replaceAfter;
     }
-    return std::any_of(
+    bool isHostWithoutIt = std::any_of(
       m_view.m_hosts.begin(), m_view.m_hosts.end(), [&](const DiskHost& aHost) {
         bool sameHost = aHost.m_host == aMember.m_host;
         return sameHost &&
                (aHost.m_isAlive || aHost.m_downFor >= m_view.m_replaceAfter);
       });
+    return isHostWithoutIt || IsSilent(aMember);
+  }
+
+  bool IsSilent(const GroupMember& aMember) const
+  {
+    auto at = m_view.m_silence.find(aMember.m_disk);
+    return at != m_view.m_silence.end() && at->second >= m_view.m_replaceAfter;
+  }
+
+  bool AreAllVotersLive() const
+  {
+    auto voters = Members(true);
+    return std::all_of(voters.begin(),
+                       voters.end(),
+                       [&](const GroupMember& aItem) { return IsLive(aItem); });
   }
 
   std::vector<GroupMember> Members(bool aVotes) const
@@ -114,7 +130,7 @@
   std::optional<RepairStep> RemoveLearner() const
   {
     for (const GroupMember& learner : Members(false)) {
-      if (IsLost(learner) || !NeedsVoter()) {
+      if (IsLost(learner) || (!NeedsVoter() && AreAllVotersLive())) {
         return RemoveMember(learner, "remove learner ");
       }
     }
@@ -132,7 +148,7 @@
         return RemoveMember(voter, "remove lost voter ");
       }
     }
-    if (CountLostVoters() > 0) {
+    if (!AreAllVotersLive()) {
       return std::nullopt;
     }
     for (auto voter = voters.rbegin(); voter != voters.rend(); ++voter) {
--- a/unittests/State/RepairTest.cpp
+++ b/unittests/State/RepairTest.cpp
@@ -139,3 +139,53 @@
   CHECK(resent.m_version == 8);
   CHECK(simulation.Service(4).Plans().m_plans.m_version == 300);
 }
+
+// Guards against a voter that is never replaced because its host is in no table
+// any more: the next loss of a disk then loses accepted changes.
+TEST_CASE("a voter whose host is in no table is replaced, and the loss of one "
+          "more disk is survived")
+{
+  struct Row
+  {
+    const char* m_name;
+    bool m_areVotersRestarted;
+    /// Whether the successor is up before the lost host leaves the tables.
+    bool m_isSuccessorEarly;
+  };
+  for (const Row& row : { Row{ "restart, successor later", true, false },
+                          Row{ "restart, successor before", true, true },
+                          Row{ "expired row", false, false } }) {
+    CAPTURE(std::string(row.m_name));
+    StateSimulation simulation(FaultFreeOptions());
+    const size_t successor = 3;
+    simulation.RunFor(seconds(6));
+    REQUIRE(simulation.ProposeAndWait(0, Change("a", 0)).m_status ==
+            CommandStatus::Accepted);
+    if (!row.m_isSuccessorEarly) {
+      simulation.Crash(successor);
+    }
+    size_t lost = (*simulation.Leader() + 1) % 3;
+    simulation.Crash(lost);
+    simulation.Forget(lost);
+    for (size_t i = 0; i < 3 && row.m_areVotersRestarted; ++i) {
+      if (i != lost) {
+        simulation.Crash(i);
+        simulation.Restart(i);
+      }
+    }
+    simulation.RunFor(seconds(3));
+    simulation.Restart(successor);
+    simulation.RunFor(seconds(12));
+    CHECK(simulation.LiveVoters() == 3);
+    REQUIRE(simulation.ProposeAndWait(4, Change("b", 1)).m_status ==
+            CommandStatus::Accepted);
+    size_t second = (lost + 1) % 3;
+    simulation.Crash(second);
+    simulation.EmptyDisk(second);
+    simulation.Restart(second);
+    simulation.RunFor(seconds(6));
+    REQUIRE(simulation.Leader());
+    CHECK(simulation.ProposeAndWait(4, Change("c", 2)).m_status ==
+          CommandStatus::Accepted);
+  }
+}
--- a/unittests/State/StateSimulation.cpp
+++ b/unittests/State/StateSimulation.cpp
@@ -130,6 +130,9 @@
   std::vector<StatePeer> peers;
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     const Host& host = m_hosts[i];
+    if (host.m_isForgotten) {
+      continue;
+    }
     StatePeer peer;
     peer.m_host = host.m_id;
     peer.m_dataCentre = DataCentreId("dc-" + std::to_string(i % 3));
--- a/unittests/State/StateSimulation.h
+++ b/unittests/State/StateSimulation.h
@@ -92,6 +92,9 @@
   void Restart(size_t aHost);
   void EmptyDisk(size_t aHost);
   void SetPartitioned(size_t aHost, bool aIsPartitioned);
+  /// Removes a host that is down from the tables of all others, as after they
+  /// have restarted or its row has expired.
+  void Forget(size_t aHost) { m_hosts[aHost].m_isForgotten = true; }
 
   std::optional<size_t> Leader() const;
   StateService& Service(size_t aHost) { return *m_hosts[aHost].m_service; }
@@ -114,6 +117,7 @@
     std::shared_ptr<DiskImage> m_image;
     std::unique_ptr<StateService> m_service;
     bool m_isPartitioned = false;
+    bool m_isForgotten = false;
     Instant m_downSince;
     Instant m_restartAt;
     uint64_t m_lastPlansVersion = 0;
