[Forwarding] Stop a run before its stream goes on elsewhere

Cause: HttpClient reported a response that it cannot parse with the same status as a connection that the server has ended, so that the flow took the close by this host for the end of the run. Change: the client reports DataLoss if this side has ended the connection. The flow then asks the engine to stop the run, by the last part of a copy, and resumes after the answer only: at the copy, at the backup, at the engine or in a new run. The same for heads and bodies that are refused on resumable streams, and for rescue copies whose source stream is closed here.

--- a/include/persimmontally/Forwarding/WireProtocol.h
+++ b/include/persimmontally/Forwarding/WireProtocol.h
@@ -111,6 +111,8 @@
   /// Handle of the copy. Also set if the copy failed but the source, having
   /// stopped the generation, keeps its KV memory.
   std::string m_handle;
+  /// Whether the engine states that it does not run the generation.
+  bool m_hasNoRun = false;
 };
 
 /// An upstream's announcement, without the fields that come from the catalog.
--- a/include/persimmontally/Net/HttpClient.h
+++ b/include/persimmontally/Net/HttpClient.h
@@ -23,7 +23,11 @@
   /// Called for each part of the body, in order.
   std::function<void(std::string_view aData)> m_onData;
   /// Called once at the end, unless the call was cancelled. OK means that the
-  /// response is complete.
+  /// response is complete. `Unavailable`: there was no connection, and nothing
+  /// was sent. `Aborted`: the server, or the network, has ended the connection.
+  /// `DataLoss`: the response cannot be parsed and this side has ended the
+  /// connection; the server may still be at work on the request, and so it may
+  /// after `DeadlineExceeded`.
   std::function<void(absl::Status aStatus)> m_onEnd;
 };
 
@@ -33,6 +37,9 @@
   /// Time limit for sending the request and reading the response headers, and
   /// then for each read of the body.
   Duration m_idle = seconds(30);
+  /// Time for which the rest of a response that cannot be parsed is discarded,
+  /// to find out whether the server ends the connection.
+  Duration m_unparsed{ 0 };
 };
 
 /// Handle of a running request. Destroying it does not cancel the request.
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -17,6 +17,9 @@
 static constexpr uint32_t kLengthMargin = 2;
 /// Longest time from the send to the first token on an engine with free memory.
 static constexpr Duration kLongestPrefill = seconds(1);
+/// Most upstreams that send something else than a response end the connection
+/// at once.
+static constexpr Duration kUnparsedStreamWait = milliseconds(50);
 /// Speed of an engine whose slots are all taken, against the assumed one.
 static constexpr double kFullEngineSpeed = 0.5;
 
@@ -197,6 +200,7 @@
     order.m_backup = m_backup.m_endpoint;
   }
   m_head = ResponseHead();
+  m_isRunUnknown = false;
   m_isPaceMeasured = false;
   ClearBody();
   HttpRequest request =
@@ -205,6 +209,9 @@
   // the call, not a lack of data from the upstream.
   HttpCallTimeouts timeouts{ m_gateway.Options().m_connectTimeout,
                              order.m_timeLeft + seconds(1) };
+  if (IsStream()) {
+    timeouts.m_unparsed = kUnparsedStreamWait;
+  }
   HttpCallEvents events = MakeEvents();
   // Streams get a new connection: a pooled one may turn out to be closed only
   // after the request was written, and losing a generation costs far more than
@@ -231,7 +238,12 @@
     if (m_unusedBytes > kMaxUnusedBody) {
       m_call->Cancel();
       m_call.reset();
-      OnResponseEnd();
+      if (m_head.m_isNotRun) {
+        OnRejected();
+      } else {
+        OnClosedHere("the response is not the upstream's, status " +
+                     std::to_string(m_head.m_status));
+      }
     }
     return;
   }
@@ -249,7 +261,7 @@
     m_call.reset();
   }
   ClearBody();
-  OnAttemptFailed("the response is too large");
+  OnClosedHere("the response is too large");
 }
 
 void ForwardFlow::ClearBody()
@@ -274,7 +286,11 @@
     return;
   }
   if (!aStatus.ok()) {
-    if (absl::IsAborted(aStatus)) {
+    if (absl::IsDataLoss(aStatus) && MustEndRunFirst()) {
+      OnClosedHere(std::string(aStatus.message()));
+      return;
+    }
+    if (absl::IsAborted(aStatus) || absl::IsDataLoss(aStatus)) {
       OnBrokenOffBeforeHead(std::string(aStatus.message()));
       return;
     }
@@ -424,6 +440,7 @@
   ClearBody();
   m_state = State::Ended;
   m_deadlineTimer.Cancel();
+  m_stopTimer.Cancel();
   if (m_call) {
     m_call->Cancel();
     m_call.reset();
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -183,6 +183,21 @@
   bool IsEndAnnounced() const;
   void SwitchToBackup(const std::string& aReason);
   void OnMigrationEnd(const LiveCopy::Outcome& aOutcome);
+  Copy ReserveRescueCopy();
+  /// Whether the request would go on elsewhere in the same run, or in one that
+  /// must not run beside the first.
+  bool MustEndRunFirst() const
+  {
+    return IsStream() && (m_hasStarted || IsRepeatable());
+  }
+  /// Handles a call that this host has ended without knowing whether the
+  /// upstream is still at work on the request.
+  void OnClosedHere(const std::string& aReason);
+  void OnStreamUnreadable(const std::string& aReason);
+  void StopRun();
+  void OnStopAnswered(const LiveCopy::Outcome& aOutcome);
+  void ResumeStopped(const LiveCopy::Outcome& aOutcome);
+  void OnRunGone();
   void ReportDeathDuringMigration();
   void ResumeAt(Copy aCopy);
   void CancelMigration();
@@ -258,6 +273,15 @@
   /// Whether the stream ended like a complete one, so that only the result of
   /// the migration or of the resume shows whether it is.
   bool m_isPerhapsComplete = false;
+  /// Whether this host has ended the connection while the upstream may be at
+  /// work on the request, and why.
+  bool m_isRunUnknown = false;
+  std::string m_closedReason;
+  /// Calls that asked upstreams to stop such a run.
+  int m_stopCalls = 0;
+  /// Whether the copy that such a call makes goes to the engine of the backup.
+  bool m_isStopTargetBackup = false;
+  Timer m_stopTimer;
   Instant m_nextMigrationAt;
   /// When the end of the current upstream was first known, if it is.
   std::optional<Instant> m_leavingSince;
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -91,6 +91,11 @@
   return { target, entry->m_row.m_endpoint, ticket.m_id };
 }
 
+ForwardFlow::Copy ForwardFlow::ReserveRescueCopy()
+{
+  return ReserveCopy(CopyPurpose::Rescue, kMaxUseForRescue);
+}
+
 void ForwardFlow::ReleaseCopy(Copy& aCopy)
 {
   if (!aCopy.m_ledgerId.Empty()) {
@@ -146,7 +151,7 @@
 {
   m_nextMigrationAt = m_gateway.Loop().Now() + kMigrationRetryDelay;
   ReleaseCopy(m_backup);
-  m_rescueCopy = ReserveCopy(CopyPurpose::Rescue, kMaxUseForRescue);
+  m_rescueCopy = ReserveRescueCopy();
   if (m_rescueCopy.m_upstream.Empty()) {
     // Engines that rejected a copy may have free memory by the next attempt.
     m_rejectingTargets.clear();
@@ -172,6 +177,16 @@
   }
   m_liveCopy.reset();
   m_isCopyUnanswered = !aOutcome.m_isAnswered;
+  bool isStopped = aOutcome.m_isStopped && aOutcome.m_isAnswered;
+  if (m_isRunUnknown && !isStopped) {
+    ReleaseCopy(m_rescueCopy);
+    if (aOutcome.m_hasNoRun) {
+      OnRunGone();
+    } else {
+      StopRun();
+    }
+    return;
+  }
   if (m_isSourceStreamEnded) {
     ReportDeathDuringMigration();
   }
--- /dev/null
+++ b/lib/Forwarding/ForwardStop.cpp
@@ -0,0 +1,155 @@
+// Runs whose connection this host has closed, as after bytes that are no
+// response. Not all upstreams stop a run when its connection closes, so that
+// the request goes on elsewhere only once the upstream has confirmed its end.
+
+#include "ForwardFlow.h"
+
+#include "persimmontally/Support/Log.h"
+#include "persimmontally/Support/Metrics.h"
+
+namespace persimmontally {
+
+static constexpr Duration kStopRetryDelay = milliseconds(40);
+/// Calls for one request. A stop without an answer leaves the end unknown.
+static constexpr int kMaxStopCalls = 3;
+
+void ForwardFlow::OnClosedHere(const std::string& aReason)
+{
+  if (!MustEndRunFirst()) {
+    OnAttemptFailed(aReason);
+    return;
+  }
+  RecordFailure(false);
+  m_closedReason = aReason;
+  StopRun();
+}
+
+void ForwardFlow::OnStreamUnreadable(const std::string& aReason)
+{
+  WriteLog(LogLevel::Warning,
+           "stream_unreadable",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "events", m_events.Events() },
+             { "reason", aReason } });
+  m_gateway.Counters().Add("streams_unreadable_total");
+  RecordFailure(false);
+  m_events.Restart();
+  m_closedReason = aReason;
+  m_isPerhapsComplete = false;
+  m_isSourceStreamEnded = true;
+  m_isSourceBrokenOff = false;
+  m_isRunUnknown = true;
+  m_state = State::Migrating;
+  if (m_liveCopy) {
+    // Its last part stops the run.
+    return;
+  }
+  if (m_resume && !m_isCopyUnanswered) {
+    ResumeAt(std::exchange(m_rescueCopy, Copy()));
+    return;
+  }
+  m_resume.reset();
+  ReleaseCopy(m_rescueCopy);
+  StopRun();
+}
+
+/// Asks the upstream to stop the run, by the last part of a copy to the engine
+/// of the backup or, without one, to another engine. Ends the request if that
+/// is not possible.
+void ForwardFlow::StopRun()
+{
+  m_isRunUnknown = true;
+  m_state = State::Migrating;
+  bool canStop = IsGeneration() && m_target.m_service->m_engine->m_canMigrate &&
+                 m_stopCalls < kMaxStopCalls && TimeLeft() > kMinTimeLeft;
+  m_isStopTargetBackup = canStop && HasBackup();
+  if (m_isStopTargetBackup) {
+    m_rescueCopy = std::exchange(m_backup, Copy());
+  } else if (canStop) {
+    m_rescueCopy = ReserveRescueCopy();
+  }
+  if (m_rescueCopy.m_upstream.Empty()) {
+    Refuse(RefusalBuilder(ErrorKind::UpstreamFailed, m_closedReason)
+             .AfterSend()
+             .Build());
+    return;
+  }
+  ++m_stopCalls;
+  WriteLog(LogLevel::Info,
+           "stop_run",
+           { { "request", m_request.m_id },
+             { "upstream", m_upstream.Value() },
+             { "target", m_rescueCopy.m_upstream.Value() },
+             { "is_backup", m_isStopTargetBackup },
+             { "reason", m_closedReason } });
+  m_gateway.Counters().Add("run_stops_total");
+  m_liveCopy = std::make_shared<LiveCopy>(
+    m_gateway,
+    m_request.m_id,
+    m_upstreamEndpoint,
+    m_rescueCopy.m_endpoint,
+    [] { return true; },
+    [self = shared_from_this()](const LiveCopy::Outcome& aOutcome) {
+      self->OnStopAnswered(aOutcome);
+    });
+  m_liveCopy->StartWithLastPart();
+}
+
+void ForwardFlow::OnStopAnswered(const LiveCopy::Outcome& aOutcome)
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  m_liveCopy.reset();
+  if (aOutcome.m_isAnswered && aOutcome.m_isStopped) {
+    ResumeStopped(aOutcome);
+    return;
+  }
+  if (m_isStopTargetBackup) {
+    m_backup = std::exchange(m_rescueCopy, Copy());
+  } else {
+    ReleaseCopy(m_rescueCopy);
+  }
+  if (aOutcome.m_hasNoRun) {
+    OnRunGone();
+    return;
+  }
+  m_stopTimer =
+    m_gateway.Loop().RunAfter(kStopRetryDelay, [self = shared_from_this()] {
+      if (self->m_state != State::Ended) {
+        self->StopRun();
+      }
+    });
+}
+
+/// Resumes a stopped run from its copy, from the backup or at its upstream; one
+/// without a response yet begins anew.
+void ForwardFlow::ResumeStopped(const LiveCopy::Outcome& aOutcome)
+{
+  if (!m_hasStarted) {
+    ReleaseCopy(m_rescueCopy);
+    OnAttemptFailed(m_closedReason);
+    return;
+  }
+  m_resume = ResumePoint{ m_upstreamEndpoint, aOutcome.m_handle, "" };
+  if (!aOutcome.m_isCopied && m_isStopTargetBackup) {
+    m_resume = ResumePoint{ m_rescueCopy.m_endpoint, m_request.m_id, "" };
+  } else if (!aOutcome.m_isCopied) {
+    ReleaseCopy(m_rescueCopy);
+    m_rescueCopy = { m_upstream, m_upstreamEndpoint, RequestId() };
+  }
+  ResumeAt(std::exchange(m_rescueCopy, Copy()));
+}
+
+/// Continues a request whose upstream states that it does not run it.
+void ForwardFlow::OnRunGone()
+{
+  if (!m_hasStarted) {
+    OnAttemptFailed(m_closedReason);
+    return;
+  }
+  RecoverStream(m_closedReason, IsHarmless(), false);
+}
+
+} // namespace persimmontally
--- a/lib/Forwarding/ForwardStream.cpp
+++ b/lib/Forwarding/ForwardStream.cpp
@@ -89,6 +89,10 @@
 
 void ForwardFlow::OnStreamEnd(const absl::Status& aStatus)
 {
+  if (absl::IsDataLoss(aStatus)) {
+    OnStreamUnreadable(std::string(aStatus.message()));
+    return;
+  }
   // A response with neither a length nor chunks ends in this way if its engine
   // crashes.
   bool isBrokenOff = m_events.IsInsideEvent();
--- a/lib/Forwarding/LiveCopy.cpp
+++ b/lib/Forwarding/LiveCopy.cpp
@@ -32,6 +32,12 @@
   Call();
 }
 
+void LiveCopy::StartWithLastPart()
+{
+  m_isLast = true;
+  Call();
+}
+
 void LiveCopy::Call()
 {
   const ForwardOptions& options = m_gateway.Options();
@@ -74,7 +80,7 @@
   if (answer.m_isCopied && !m_isLast && !m_mayGoOn()) {
     m_isEnded = true;
     FreeCopy();
-    m_callback({ false, false, true, "" });
+    m_callback({ false, false, true, false, "" });
     return;
   }
   if (answer.m_isCopied && !m_isLast) {
@@ -85,8 +91,11 @@
   m_isEnded = true;
   // An engine that answers without a handle had no such generation to stop.
   bool hasHandle = aStatus.ok() ? !answer.m_handle.empty() : !m_handle.empty();
-  m_callback(
-    { answer.m_isCopied, m_isLast && hasHandle, aStatus.ok(), m_handle });
+  m_callback({ answer.m_isCopied,
+               m_isLast && hasHandle,
+               aStatus.ok(),
+               answer.m_hasNoRun,
+               m_handle });
 }
 
 void LiveCopy::FreeCopy()
--- a/lib/Forwarding/LiveCopy.h
+++ b/lib/Forwarding/LiveCopy.h
@@ -25,6 +25,8 @@
     bool m_isStopped = false;
     /// Whether the source has answered the last call.
     bool m_isAnswered = false;
+    /// Whether the source has answered that no such generation runs there.
+    bool m_hasNoRun = false;
     std::string m_handle;
   };
   using Callback = std::function<void(const Outcome&)>;
@@ -39,6 +41,8 @@
            Callback aCallback);
 
   void Start();
+  /// Stops the generation at once, and copies it as a whole.
+  void StartWithLastPart();
   /// Cancels the copy without a callback and frees a copy that was made.
   void Cancel();
   /// Whether the source has been asked to stop the generation.
--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -288,9 +288,54 @@
         absl::DeadlineExceededError("idle timeout while reading the response"));
       return;
     }
+    if (IsParseError(aError)) {
+      DiscardResponse(aError.message());
+      return;
+    }
     End(absl::AbortedError("read: " + aError.message()));
   }
 
+  /// Returns whether the bytes of the server are no response. Errors of the
+  /// connection and its early end are none of these.
+  static bool IsParseError(const error_code& aError)
+  {
+    return aError.category() ==
+             http::make_error_code(http::error::bad_chunk).category() &&
+           aError != http::error::end_of_stream &&
+           aError != http::error::partial_message;
+  }
+
+  /// Discards what is left of a response that cannot be parsed until the server
+  /// ends the connection, or time or bytes are used up.
+  void DiscardResponse(const std::string& aReason)
+  {
+    m_unparsedReason = "read: " + aReason;
+    m_discardedBytes = m_buffer.size();
+    m_stream.expires_after(m_timeouts.m_unparsed);
+    DiscardMore();
+  }
+
+  void DiscardMore()
+  {
+    if (m_timeouts.m_unparsed <= Duration(0) ||
+        m_discardedBytes > kMaxUnparsedBytes) {
+      End(absl::DataLossError(m_unparsedReason));
+      return;
+    }
+    m_stream.async_read_some(
+      boost::asio::buffer(m_chunk),
+      [self = shared_from_this()](error_code aError, size_t aSize) {
+        self->m_discardedBytes += aSize;
+        if (!aError) {
+          self->DiscardMore();
+        } else if (aError == beast::error::timeout) {
+          self->End(absl::DataLossError(self->m_unparsedReason));
+        } else {
+          self->End(absl::AbortedError(self->m_unparsedReason));
+        }
+      });
+  }
+
   void End(absl::Status aStatus)
   {
     if (m_ended) {
@@ -328,6 +373,8 @@
   beast::flat_buffer m_buffer{ kMaxUnparsedBytes };
   http::response_parser<http::buffer_body> m_parser;
   std::array<char, kChunkBytes> m_chunk{};
+  std::string m_unparsedReason;
+  size_t m_discardedBytes = 0;
   bool m_isHead = false;
   bool m_isReused = false;
   bool m_ended = false;
--- a/unittests/Forwarding/RawUpstream.h
+++ b/unittests/Forwarding/RawUpstream.h
@@ -83,6 +83,15 @@
       }
     }
   }
+  /// Sends further bytes on the connections that are held open.
+  void SendHeld(const std::string& aBytes)
+  {
+    for (Connection& connection : m_connections) {
+      if (!connection.m_isClosed && connection.m_isAnswering) {
+        connection.m_unsent += aBytes;
+      }
+    }
+  }
   /// Ends all connections on which everything has been sent.
   void CloseAll()
   {
