[Net] Refuse responses whose head is not valid as a whole

Cause: the library's parser accepts any three digits as a status and leaves most codings alone, and the host passed on what was parsed. Evidence: a test server that sends given bytes; 22 of 61 forms reached the caller or lost the sound response that followed. Change: the bytes of each head are checked before they are parsed: status line, status, names, values, and one way to delimit the body. Interim responses are dropped. A request id, a stamp or a retry delay that occurs twice counts for none; a handle that cannot stand in a header is refused. A refused head counts as a request that may have run.

--- a/lib/Net/HttpClient.cpp
+++ b/lib/Net/HttpClient.cpp
@@ -1,12 +1,14 @@
 #include "persimmontally/Net/HttpClient.h"
 
 #include "LoopContext.h"
+#include "ResponseCheck.h"
 #include "persimmontally/Net/EventLoop.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -106,7 +108,6 @@
     , m_timeouts(aTimeouts)
     , m_events(std::move(aEvents))
   {
-    m_parser.body_limit(boost::none);
   }
 
   void Start(const Endpoint& aServer, HttpRequest aRequest)
@@ -114,7 +115,6 @@
     aRequest.ShareBody();
     SerializeRequest(aServer, aRequest);
     m_isHead = aRequest.m_method == "HEAD";
-    m_parser.skip(m_isHead);
     m_server = aServer;
     if (m_idleConnections) {
       auto reused = m_idleConnections->Acquire(aServer);
@@ -211,31 +211,89 @@
 
   void ReadHead()
   {
-    http::async_read_header(
-      m_stream,
-      m_buffer,
-      m_parser,
-      [self = shared_from_this()](error_code aError, size_t) {
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
+    m_scannedBytes = 0;
+    FindEndOfHead();
+  }
+
+  void FindEndOfHead()
+  {
+    std::string_view unparsed(static_cast<const char*>(m_buffer.data().data()),
+                              m_buffer.size());
+    size_t overlap = std::min(m_scannedBytes, kHeadEnd.size() - 1);
+    size_t end = unparsed.find(kHeadEnd, m_scannedBytes - overlap);
+    if (end != std::string_view::npos) {
+      ParseHead(unparsed.substr(0, end + kHeadEnd.size()));
+      return;
+    }
+    m_scannedBytes = unparsed.size();
+    if (!kVersionStart.starts_with(unparsed.substr(0, kVersionStart.size()))) {
+      DiscardResponse("the bytes are no response");
+      return;
+    }
+    size_t space = m_buffer.max_size() - m_buffer.size();
+    if (space == 0) {
+      DiscardResponse("the head is too large");
+      return;
+    }
+    m_stream.async_read_some(
+      m_buffer.prepare(std::min(space, kChunkBytes)),
+      [self = shared_from_this()](error_code aError, size_t aSize) {
+        if (self->m_ended) {
+          return;
+        }
+        self->m_buffer.commit(aSize);
+        if (aError == boost::asio::error::eof) {
+          aError = self->m_buffer.size() > 0 ? http::error::partial_message
+                                             : http::error::end_of_stream;
+        }
         if (aError) {
           self->EndWithReadError(aError);
           return;
         }
-        self->ReportHead();
-        self->ReadBody();
+        self->FindEndOfHead();
       });
   }
 
+  /// Parses the head at the start of the buffer.
+  void ParseHead(std::string_view aHead)
+  {
+    absl::Status valid = CheckResponseHead(aHead);
+    if (!valid.ok()) {
+      DiscardResponse(std::string(valid.message()));
+      return;
+    }
+    error_code error;
+    m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    if (error || !m_parser->is_header_done()) {
+      DiscardResponse(error ? error.message() : "incomplete head");
+      return;
+    }
+    if (!IsInterimStatus(static_cast<int>(m_parser->get().result_int()))) {
+      ReportHead();
+      ReadBody();
+      return;
+    }
+    if (++m_interimResponses > kMaxInterimResponses) {
+      DiscardResponse("too many interim responses");
+      return;
+    }
+    ReadHead();
+  }
+
   void ReportHead()
   {
     if (!m_events.m_onHead) {
       return;
     }
     HttpHeaders headers;
-    for (const auto& field : m_parser.get()) {
+    for (const auto& field : m_parser->get()) {
       headers.push_back(
         { std::string(field.name_string()), std::string(field.value()) });
     }
-    m_events.m_onHead(static_cast<int>(m_parser.get().result_int()), headers);
+    m_events.m_onHead(static_cast<int>(m_parser->get().result_int()), headers);
   }
 
   void ReadBody()
@@ -243,7 +301,7 @@
     if (m_ended) {
       return;
     }
-    if (m_parser.is_done()) {
+    if (m_parser->is_done()) {
       End(absl::OkStatus());
       return;
     }
@@ -252,13 +310,13 @@
       m_stream.expires_never();
       return;
     }
-    m_parser.get().body().data = m_chunk.data();
-    m_parser.get().body().size = m_chunk.size();
+    m_parser->get().body().data = m_chunk.data();
+    m_parser->get().body().size = m_chunk.size();
     m_stream.expires_after(m_timeouts.m_idle);
     http::async_read_some(
       m_stream,
       m_buffer,
-      m_parser,
+      *m_parser,
       [self = shared_from_this()](error_code aError, size_t) {
         self->OnBody(aError);
       });
@@ -269,7 +327,7 @@
     if (m_ended) {
       return;
     }
-    size_t size = m_chunk.size() - m_parser.get().body().size;
+    size_t size = m_chunk.size() - m_parser->get().body().size;
     bool readable = !aError || aError == http::error::need_buffer;
     if (readable && size > 0 && m_events.m_onData) {
       m_events.m_onData({ m_chunk.data(), size });
@@ -342,8 +400,8 @@
       return;
     }
     m_ended = true;
-    bool canKeep = m_idleConnections && aStatus.ok() && m_parser.keep_alive() &&
-                   m_buffer.size() == 0;
+    bool canKeep = m_idleConnections && aStatus.ok() &&
+                   m_parser->keep_alive() && m_buffer.size() == 0;
     if (canKeep) {
       m_stream.expires_never();
       m_idleConnections->Release(m_server, m_stream.release_socket());
@@ -361,6 +419,9 @@
   /// Bytes that wait to be parsed: heads, chunk sizes and trailers are parsed
   /// as a whole, so that this also bounds each of them.
   static constexpr size_t kMaxUnparsedBytes = size_t(64) << 10;
+  static constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  static constexpr std::string_view kVersionStart = "HTTP/1.";
+  static constexpr int kMaxInterimResponses = 16;
 
   std::shared_ptr<IdleConnections> m_idleConnections;
   Endpoint m_server;
@@ -371,7 +432,11 @@
   std::string m_requestBytes;
   std::shared_ptr<const std::string> m_body;
   beast::flat_buffer m_buffer{ kMaxUnparsedBytes };
-  http::response_parser<http::buffer_body> m_parser;
+  /// Parser of the current response, which may be an interim one.
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
+  int m_interimResponses = 0;
+  /// Bytes at the start of the buffer that hold no end of a head.
+  size_t m_scannedBytes = 0;
   std::array<char, kChunkBytes> m_chunk{};
   std::string m_unparsedReason;
   size_t m_discardedBytes = 0;
--- a/unittests/Platform/PlatformTest.cpp
+++ b/unittests/Platform/PlatformTest.cpp
@@ -339,6 +339,23 @@
            false,
            false,
            false },
+         // Two statements, of which one may be another response's.
+         { 200, { id, stamp, { "Request-Id", "x" } }, false, false, false },
+         { 200, { { "request-id", "x" }, id, stamp }, false, false, false },
+         { 200, { id, id, stamp }, false, false, false },
+         { 200,
+           { id, stamp, { "Server-Stamp", "4f2c" } },
+           false,
+           false,
+           false },
+         { 200,
+           { id,
+             stamp,
+             { "Content-Encoding", "" },
+             { "Content-Encoding", "gzip" } },
+           false,
+           false,
+           false },
          { 503, { { "Not-Run", "1" } }, false, true, false },
          { 503, {}, false, false, false },
          { 421, { { "Instance-Id", "i-2" } }, false, true, true } }) {
@@ -581,7 +598,10 @@
          Row{ 503, R"({"handle":"h1"})", false, "h1" },
          Row{ 503, "", false, "" },
          Row{ 404, "{}", false, "" },
-         Row{ 200, R"({"handle":7})", false, "" } }) {
+         Row{ 200, R"({"handle":7})", false, "" },
+         // Would add a line to the head of a request.
+         Row{ 200, R"({"handle":"h1\r\nX: y"})", false, "" },
+         Row{ 503, R"({"handle":"h 1"})", false, "" } }) {
     CAPTURE(row.m_status);
     CopyResponse copy =
       protocol.DecodeCopyResponse({ row.m_status, {}, row.m_body });
