[Proxy] Start the next attempt after the last one is cancelled

Callers saw: nothing; on the completions API a generation could run at two engines while the first had not yet read its cancellation. Cause: Retry sent the cancellation and placed the next attempt without waiting for the answer. Closing the connection does not end a generation there. Change: the next attempt is placed once the cancellation has been answered or given up after 1 s. After the death of the engine nothing is awaited.

--- a/lib/Proxy/CompletionFlow.cpp
+++ b/lib/Proxy/CompletionFlow.cpp
@@ -421,23 +421,41 @@
     Interrupt(aUpstreamDied ? "the upstream died" : "the upstream failed");
     return;
   }
-  Retry(aUpstreamDied ? "the upstream died" : "the upstream failed");
+  Retry(aUpstreamDied ? "the upstream died" : "the upstream failed",
+        aUpstreamDied);
 }
 
-void CompletionFlow::Retry(const std::string& aReason)
+/// Starts the next attempt once the cancellation of the last one has been
+/// answered or given up, so that the generation does not run at two upstreams.
+void CompletionFlow::Retry(const std::string& aReason, bool aUpstreamDied)
 {
   Instant now = m_gateway.Loop().Now();
-  CancelUpstream();
   m_gateway.Placement().Complete(now, m_id, DispatchOutcome::Failed);
   m_excluded.insert(m_upstream);
   bool allowed = m_attempts < m_gateway.Options().m_maxAttempts &&
                  m_gateway.Retries().TryTake();
   if (!allowed) {
+    CancelUpstream();
     RefusalBuilder refusal(ErrorKind::UpstreamFailed, aReason);
     Refuse(m_wasSent ? refusal.AfterSend().Build() : refusal.Build());
     return;
   }
   m_gateway.Counters().Add("retries_total");
+  if (aUpstreamDied) {
+    CancelUpstream();
+    RetryLater();
+    return;
+  }
+  CancelUpstream([weak = weak_from_this()] {
+    auto self = weak.lock();
+    if (self && !self->m_isClosed) {
+      self->RetryLater();
+    }
+  });
+}
+
+void CompletionFlow::RetryLater()
+{
   m_state = AttemptState::Queued;
   m_timer = m_gateway.Loop().RunAfter(m_gateway.Retries().Delay(m_attempts),
                                       [weak = weak_from_this()] {
@@ -534,14 +552,18 @@
 }
 
 /// Cancels the generation at the upstream. Closing the connection alone would
-/// leave it running until the upstream's resume window ends.
-void CompletionFlow::CancelUpstream()
+/// leave it running until the upstream's resume window ends. `aOnEnd` is called
+/// once the upstream has answered, or does not within the time limit.
+void CompletionFlow::CancelUpstream(std::function<void()> aOnEnd)
 {
   if (m_call) {
     m_call->Cancel();
     m_call.reset();
   }
   if (m_state != AttemptState::Sent || m_hasFinishReason) {
+    if (aOnEnd) {
+      aOnEnd();
+    }
     return;
   }
   HttpRequest request;
@@ -553,7 +575,11 @@
     m_upstreamEndpoint,
     std::move(request),
     { m_gateway.Options().m_connectTimeout, seconds(1) },
-    [](const absl::Status&, const HttpResponse&) {},
+    [onEnd = std::move(aOnEnd)](const absl::Status&, const HttpResponse&) {
+      if (onEnd) {
+        onEnd();
+      }
+    },
     kMaxUnusedBody);
 }
 
--- a/lib/Proxy/CompletionFlow.h
+++ b/lib/Proxy/CompletionFlow.h
@@ -7,6 +7,7 @@
 #include "persimmontally/Proxy/CallerRequest.h"
 #include "persimmontally/Proxy/Gateway.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -59,12 +60,13 @@
   void OnCallEnd(const absl::Status& aStatus);
   void OnAttemptFailed(const std::string& aReason);
   void DecideAfterFailure(bool aUpstreamDied);
-  void Retry(const std::string& aReason);
+  void Retry(const std::string& aReason, bool aUpstreamDied);
   void Interrupt(const std::string& aReason);
   void CompleteResponse();
   void Refuse(const Refusal& aRefusal);
   void OnCallerGone();
-  void CancelUpstream();
+  void CancelUpstream(std::function<void()> aOnEnd = nullptr);
+  void RetryLater();
   void Close(DispatchOutcome aOutcome, const char* aResult);
   /// Whether part of a stream has reached the caller, which rules out a retry.
   bool HasDelivered() const { return m_isStreaming; }
--- a/unittests/Proxy/ResponsesTest.cpp
+++ b/unittests/Proxy/ResponsesTest.cpp
@@ -197,6 +197,40 @@
   CHECK(bad.Count("POST /v1/completions") >= 1);
 }
 
+// Guards against a generation that runs at two engines: an engine works on
+// until its cancellation, whatever becomes of the connection.
+TEST_CASE("the next attempt starts after the cancellation of the last one")
+{
+  TestSite site;
+  bool isRunning = false;
+  bool wasRunningBeside = false;
+  Timer cancellation;
+  FakeUpstream bad(
+    site.Loop(), [&](const HttpRequest& aRequest, const Writer& aWriter) {
+      if (IsCompletion(aRequest)) {
+        isRunning = true;
+        aWriter->Abort();
+        return;
+      }
+      cancellation = site.Loop().RunAfter(milliseconds(200), [&, aWriter] {
+        isRunning = false;
+        aWriter->SendResponse({ 200, {}, "{}" });
+      });
+    });
+  FakeUpstream good(site.Loop(), [&](const HttpRequest&, const Writer& writer) {
+    wasRunningBeside = wasRunningBeside || isRunning;
+    SendCompleteStream(writer, TokenEvent(0, "a") + EndEvents(1));
+  });
+  site.Announce("a-bad", bad.Listen(site.AddressPrefix() + ".9"));
+  site.Announce("b-good", good.Listen(site.AddressPrefix() + ".10"));
+  for (int i = 0; i < 4; ++i) {
+    HttpResponse response = site.Call(CompletionRequestOf(kStreamingBody));
+    CHECK(ReceivedText(response.m_body) == "a");
+  }
+  CHECK(bad.Count("POST /v1/completions") >= 1);
+  CHECK(!wasRunningBeside);
+}
+
 TEST_CASE("hosts of a data centre together never exceed the slots of an "
           "upstream")
 {
