[State] Found the group again after an end within the founding

Cause: founding stores the name of the group and then its first member. A kill, or a full disk, in between leaves a folder with a group and without members, and the host took it for that of a member. Change: a member that has stored nothing of its group may found it, under the conditions of any founder.

--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -158,6 +158,7 @@
   void OpenMember();
   void StartMember(RaftRecovery aRecovery);
   std::vector<HostId> BootstrapHosts() const;
+  bool IsBlankMember() const;
   void TryBootstrap(Instant aNow);
   void PushLists();
   void RunRepair(Instant aNow);
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -92,13 +92,23 @@
   return hosts;
 }
 
+/// Whether this host belongs to a group of which it has stored nothing: no
+/// configuration, vote or entry.
+bool StateService::IsBlankMember() const
+{
+  return m_raft->Term() == 0 && m_raft->LastIndex() == 0 &&
+         m_raft->Config().m_members.empty();
+}
+
 /// Founds the group on the founding host with the smallest id, once all
 /// founding hosts are up with new data folders and no host is in a group. The
 /// other hosts join through voter repair, so that a host with an emptied data
-/// folder cannot found a second group beside the existing one.
+/// folder cannot found a second group beside the existing one. Runs again on a
+/// host that ended, or whose disk failed, after it had stored the name of a new
+/// group and before its first member.
 void StateService::TryBootstrap(Instant)
 {
-  if (!m_store || m_raft) {
+  if (!m_store || !m_failure.ok() || (m_raft && !IsBlankMember())) {
     return;
   }
   std::vector<HostId> founders = BootstrapHosts();
@@ -118,7 +128,7 @@
     }
   }
   for (const StatePeer& peer : m_peers) {
-    if (!peer.m_group.empty()) {
+    if (peer.m_host != m_options.m_host && !peer.m_group.empty()) {
       return;
     }
   }
