[Forwarding] Check the target of a migration at each step

Cause: the steps of a migration asked whether residency and evacuations allow the target, not whether it still takes work. Change: between the parts of a copy the target has to qualify as when it was chosen; else the migration starts anew with another one. A stopped generation resumes at a target that takes work, or began to leave within the last second.

--- a/include/persimmontally/Routing/Dispatcher.h
+++ b/include/persimmontally/Routing/Dispatcher.h
@@ -169,6 +169,11 @@
   /// the nearest one, then the one with the lowest memory use. Empty if none
   /// has capacity. `aMaxMemoryUse` bounds the fraction of the engine's memory
   /// in use, including the copy.
+  /// Whether a generation may be copied to an upstream now: it takes work, is
+  /// neither limited nor cold, and lies where the generation may be served.
+  bool MayCopyTo(Instant aNow,
+                 const UpstreamEntry& aEntry,
+                 const Residency& aResidency) const;
   UpstreamId PickCopyTarget(Instant aNow,
                             const UpstreamTable& aTable,
                             const Ticket& aTicket,
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -138,6 +138,10 @@
   bool FollowCatalog();
   /// Whether the request or a copy of its data may be sent to an upstream now.
   bool MayUse(const UpstreamId& aUpstream) const;
+  /// Whether the target of a rescue copy still qualifies.
+  bool MayCopyTo(const UpstreamId& aTarget) const;
+  /// Whether a generation that has been copied to an upstream may go on there.
+  bool MayResumeAt(const UpstreamId& aTarget) const;
   void Send(const Endpoint& aEndpoint, std::optional<ResumePoint> aResume);
   HttpCallEvents MakeEvents();
   void OnHead(int aStatus, const HttpHeaders& aHeaders);
@@ -277,6 +281,8 @@
   /// work on the request, and why.
   bool m_isRunUnknown = false;
   std::string m_closedReason;
+  /// When the last part of a copy was last asked for, which stops the run.
+  Instant m_lastPartAt;
   /// Calls that asked upstreams to stop such a run.
   int m_stopCalls = 0;
   /// Whether the copy that such a call makes goes to the engine of the backup.
--- a/lib/Forwarding/ForwardMigrations.cpp
+++ b/lib/Forwarding/ForwardMigrations.cpp
@@ -14,6 +14,10 @@
 /// Delay before a migration is retried, if no engine had free memory or the
 /// generation had not yet started at the source.
 static constexpr Duration kMigrationRetryDelay = milliseconds(40);
+/// Time from the request for the last part of a copy within which a generation
+/// still resumes at a target that has begun to leave meanwhile. Engines that
+/// leave take requests for longer than that.
+static constexpr Duration kResumeAtLeaving = seconds(1);
 /// Engines are reclaimed a second or more after their notice.
 static constexpr Duration kShortestNotice = milliseconds(500);
 /// Fraction of an engine's memory in use above which it is not chosen for a
@@ -163,7 +167,7 @@
     m_request.m_id,
     m_upstreamEndpoint,
     m_rescueCopy.m_endpoint,
-    [this] { return MayUse(m_rescueCopy.m_upstream); },
+    [this] { return MayCopyTo(m_rescueCopy.m_upstream); },
     [self = shared_from_this()](const LiveCopy::Outcome& aOutcome) {
       self->OnMigrationEnd(aOutcome);
     });
@@ -177,6 +181,7 @@
   }
   m_liveCopy.reset();
   m_isCopyUnanswered = !aOutcome.m_isAnswered;
+  m_lastPartAt = aOutcome.m_lastPartAt;
   bool isStopped = aOutcome.m_isStopped && aOutcome.m_isAnswered;
   if (m_isRunUnknown && !isStopped) {
     ReleaseCopy(m_rescueCopy);
@@ -225,12 +230,30 @@
   }
 }
 
+bool ForwardFlow::MayCopyTo(const UpstreamId& aTarget) const
+{
+  const UpstreamEntry* entry = m_gateway.Members().Upstreams().Find(aTarget);
+  return entry != nullptr &&
+         m_gateway.Placement().Local().MayCopyTo(
+           m_gateway.Loop().Now(), *entry, m_target.m_residency);
+}
+
+bool ForwardFlow::MayResumeAt(const UpstreamId& aTarget) const
+{
+  Instant now = m_gateway.Loop().Now();
+  const UpstreamEntry* entry = m_gateway.Members().Upstreams().Find(aTarget);
+  bool takesWork = entry != nullptr && UpstreamTable::TakesWork(now, *entry);
+  // One that has begun to leave since it was last checked still serves.
+  return MayUse(aTarget) &&
+         (takesWork || now <= m_lastPartAt + kResumeAtLeaving);
+}
+
 /// Resumes the generation at the engine that holds a copy of its KV memory, or
 /// at the source of a rescue copy if its target may no longer be used.
 void ForwardFlow::ResumeAt(Copy aCopy)
 {
   bool isAtSource = m_resume->m_holder == m_upstreamEndpoint;
-  if (!MayUse(aCopy.m_upstream) && isAtSource) {
+  if (!MayResumeAt(aCopy.m_upstream) && isAtSource) {
     ReleaseCopy(aCopy);
     aCopy = { m_upstream, m_upstreamEndpoint, RequestId() };
   }
--- a/lib/Forwarding/ForwardStop.cpp
+++ b/lib/Forwarding/ForwardStop.cpp
@@ -102,6 +102,7 @@
     return;
   }
   m_liveCopy.reset();
+  m_lastPartAt = aOutcome.m_lastPartAt;
   if (aOutcome.m_isAnswered && aOutcome.m_isStopped) {
     ResumeStopped(aOutcome);
     return;
--- a/lib/Forwarding/LiveCopy.cpp
+++ b/lib/Forwarding/LiveCopy.cpp
@@ -41,6 +41,9 @@
 void LiveCopy::Call()
 {
   const ForwardOptions& options = m_gateway.Options();
+  if (m_isLast) {
+    m_lastPartAt = m_gateway.Loop().Now();
+  }
   m_call = StartBufferedHttpCall(
     m_gateway.Loop(),
     m_source,
@@ -80,7 +83,7 @@
   if (answer.m_isCopied && !m_isLast && !m_mayGoOn()) {
     m_isEnded = true;
     FreeCopy();
-    m_callback({ false, false, true, false, "" });
+    m_callback({ false, false, true, false, "", {} });
     return;
   }
   if (answer.m_isCopied && !m_isLast) {
@@ -95,7 +98,8 @@
                m_isLast && hasHandle,
                aStatus.ok(),
                answer.m_hasNoRun,
-               m_handle });
+               m_handle,
+               m_lastPartAt });
 }
 
 void LiveCopy::FreeCopy()
--- a/lib/Forwarding/LiveCopy.h
+++ b/lib/Forwarding/LiveCopy.h
@@ -28,6 +28,8 @@
     /// Whether the source has answered that no such generation runs there.
     bool m_hasNoRun = false;
     std::string m_handle;
+    /// When the source was asked to stop the generation, if it was.
+    Instant m_lastPartAt{};
   };
   using Callback = std::function<void(const Outcome&)>;
   /// Returns whether the copy may go on; called before each round.
@@ -63,6 +65,7 @@
   std::string m_handle;
   CopyRounds m_rounds;
   bool m_isLast = false;
+  Instant m_lastPartAt{};
   bool m_isEnded = false;
 };
 
--- a/lib/Routing/DispatcherCopies.cpp
+++ b/lib/Routing/DispatcherCopies.cpp
@@ -15,6 +15,14 @@
   return aLeft.m_region == aRight.m_region ? 1 : 2;
 }
 
+bool Dispatcher::MayCopyTo(Instant aNow,
+                           const UpstreamEntry& aEntry,
+                           const Residency& aResidency) const
+{
+  return !IsLimited(aEntry.m_row) && UpstreamTable::TakesWork(aNow, aEntry) &&
+         !m_eligibility.Check(aResidency, aEntry.m_row);
+}
+
 UpstreamId Dispatcher::PickCopyTarget(Instant aNow,
                                       const UpstreamTable& aTable,
                                       const Ticket& aTicket,
@@ -37,9 +45,8 @@
   for (const UpstreamEntry* entry : homes.m_upstreams) {
     const UpstreamRow& row = entry->m_row;
     int distance = DistanceOf(row, aSource);
-    bool isCandidate = distance <= least.first && !IsLimited(row) &&
-                       UpstreamTable::TakesWork(aNow, *entry) &&
-                       !m_eligibility.Check(ticket.m_residency, row) &&
+    bool isCandidate = distance <= least.first &&
+                       MayCopyTo(aNow, *entry, ticket.m_residency) &&
                        !ticket.m_excluded.contains(row.m_id);
     if (!isCandidate ||
         !HasCapacity(
--- a/unittests/Forwarding/ForwardTest.cpp
+++ b/unittests/Forwarding/ForwardTest.cpp
@@ -326,6 +326,78 @@
   }
 }
 
+// Guards against a generation that is moved to an engine which has begun to
+// leave, and is lost with it.
+TEST_CASE("a migration whose target begins to leave carries on to another "
+          "engine")
+{
+  struct Row
+  {
+    const char* m_name;
+    UpstreamState m_state;
+    bool m_isDuringLastPart;
+    bool m_goesOnAtTarget;
+  };
+  for (const Row& row :
+       { Row{ "target leaves", UpstreamState::Leaving, false, false },
+         Row{ "target is gone", UpstreamState::Gone, false, false },
+         // It is still within its notice, and the source has stopped.
+         Row{ "target leaves after the last check",
+              UpstreamState::Leaving,
+              true,
+              true } }) {
+    CAPTURE(std::string(row.m_name));
+    ForwardSite site(false);
+    std::vector<std::unique_ptr<FakeEngine>> engines;
+    std::map<std::string, FakeEngine*> byAddress;
+    std::string target;
+    for (const char* id : { "e1", "e2", "e3" }) {
+      engines.push_back(std::make_unique<FakeEngine>(site, id));
+      FakeEngine* engine = engines.back().get();
+      engine->m_onCopyRequest = [&](const std::string& aBody) {
+        bool isLast = aBody.find("last") != std::string::npos;
+        if (!target.empty() || isLast != row.m_isDuringLastPart) {
+          return;
+        }
+        for (const auto& [address, other] : byAddress) {
+          target =
+            aBody.find(address) != std::string::npos ? other->m_id : target;
+        }
+        site.SetState(target, row.m_state);
+      };
+      site.AddUpstream(
+        id,
+        "engines",
+        [engine](const HttpRequest& aRequest, const Writer& aWriter) {
+          engine->Handle(aRequest, aWriter);
+        });
+      byAddress[ToString(site.EndpointOf(id))] = engine;
+    }
+    auto call = site.Start("/stream/x", kLongOutput);
+    FakeEngine* source = nullptr;
+    site.RunUntil([&] {
+      for (const auto& engine : engines) {
+        source = engine->m_eventsSent >= 5 ? engine.get() : source;
+      }
+      return source != nullptr;
+    });
+    site.SetState(source->m_id, UpstreamState::Leaving);
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_status.ok());
+    CHECK(call->m_response.m_body == Events(40));
+    REQUIRE(!target.empty());
+    CHECK(source->m_generationsStarted == 1);
+    for (const auto& engine : engines) {
+      if (engine->m_id == target) {
+        CHECK(engine->m_generationsStarted == (row.m_goesOnAtTarget ? 1 : 0));
+      } else if (engine.get() != source) {
+        // From a target that leaves it is migrated once more.
+        CHECK(engine->m_generationsStarted == 1);
+      }
+    }
+  }
+}
+
 TEST_CASE("a short generation has no backup and fails with its engine")
 {
   ForwardSite site;
--- a/unittests/Forwarding/TwoEngines.h
+++ b/unittests/Forwarding/TwoEngines.h
@@ -39,6 +39,8 @@
   int m_generationsStarted = 0;
   /// Called when a generation resumes here.
   std::function<void()> m_onResume;
+  /// Called with the body of each request for a copy of a generation.
+  std::function<void(const std::string&)> m_onCopyRequest;
   /// Called when the last part of a copy of a generation is requested.
   std::function<void()> m_onLastPart;
   bool m_isStopped = false;
@@ -49,6 +51,9 @@
     if (aRequest.m_target.starts_with("/persimmontally/kv-move")) {
       bool isLast = aRequest.m_body.find("last") != std::string::npos;
       ++m_copyRequests;
+      if (m_onCopyRequest) {
+        m_onCopyRequest(aRequest.m_body);
+      }
       int status = isLast ? m_lastPartStatus : m_copyStatus;
       if (isLast && m_onLastPart) {
         m_onLastPart();
