[State] Replace a suspected voter that is silent

Cause: the time until peers declare a host dead (3.5 s) and the time until the leader replaces it (1 s) add up to more than a successor has (4 s), with an election on top if the leader was lost. Change: a voter whose host is suspected or dead, and that has not replied to the leader for replace_voter_after_s and an election timeout, is replaced. A new leader counts the silence of the one before it from that one's last message. Nothing is removed as surplus while a voter is suspected.

--- a/include/persimmontally/State/RaftNode.h
+++ b/include/persimmontally/State/RaftNode.h
@@ -123,8 +123,9 @@
   /// within the election timeout.
   bool HasCaughtUp(Instant aNow, const DiskId& aMember) const;
   /// Returns the time since a member last replied to this leader or, before its
-  /// first reply, since this leader began to replicate to it. Zero for members
-  /// to which this member does not replicate.
+  /// first reply, since this leader began to replicate to it; for the previous
+  /// leader, since its last message. Zero for members to which this member does
+  /// not replicate.
   Duration SilenceOf(Instant aNow, const DiskId& aMember) const;
   /// Returns whether this member is the leader, has committed an entry of its
   /// own term and has no uncommitted configuration change.
@@ -204,6 +205,8 @@
 
   Instant m_electionDeadline;
   Instant m_leaderContactAt;
+  /// The leader that sent the last message, until this member becomes one.
+  DiskId m_previousLeader;
   bool m_hadLeaderContact = false;
   Instant m_nextHeartbeatAt;
   Instant m_leaderSince;
--- a/include/persimmontally/State/StateService.h
+++ b/include/persimmontally/State/StateService.h
@@ -57,6 +57,7 @@
   std::string m_group;
   uint64_t m_listsIndex = 0;
   bool m_isAlive = false;
+  bool m_isSuspected = false;
   /// When the host was declared dead or departed; empty if it is alive.
   std::optional<Instant> m_downSince;
 };
--- a/include/persimmontally/State/VoterRepair.h
+++ b/include/persimmontally/State/VoterRepair.h
@@ -22,6 +22,8 @@
   /// Raft group that the host's disk belongs to; empty if none.
   std::string m_group;
   bool m_isAlive = false;
+  /// Whether an alive host leaves the probes of its peers unanswered.
+  bool m_isSuspected = false;
   /// Time since the host went down; zero while it is alive.
   Duration m_downFor{ 0 };
 
@@ -44,6 +46,9 @@
   size_t m_targetVoters = 3;
   /// Time for which a member must be down before it counts as lost.
   Duration m_replaceAfter{ 0 };
+  /// Time for which a member must be silent before it counts as lost, if its
+  /// host is not up either. Peers declare a host dead much later.
+  Duration m_lostAfterSilence{ 0 };
 };
 
 /// Group configuration that differs from the current one in one member, and a
--- a/lib/Daemon/HostCore.cpp
+++ b/lib/Daemon/HostCore.cpp
@@ -197,6 +197,7 @@
     peer.m_group = row.m_group;
     peer.m_listsIndex = row.m_listsIndex;
     peer.m_isAlive = row.m_state <= HostState::Suspect;
+    peer.m_isSuspected = row.m_state == HostState::Suspect;
     peer.m_downSince = m_membership.DownSince(id);
     peers.push_back(std::move(peer));
   }
--- a/lib/State/RaftLeader.cpp
+++ b/lib/State/RaftLeader.cpp
@@ -6,6 +6,7 @@
 #include "persimmontally/Wire/Codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmontally {
 
@@ -81,6 +82,10 @@
   m_termStartIndex = LastIndex() + 1;
   AppendAsLeader(aNow, EntryKind::Empty, "");
   BroadcastAppend(aNow);
+  auto previous = m_progress.find(std::exchange(m_previousLeader, DiskId()));
+  if (previous != m_progress.end()) {
+    previous->second.m_lastContactAt = m_leaderContactAt;
+  }
 }
 
 void RaftNode::TickAsLeader(Instant aNow)
--- a/lib/State/RaftNode.cpp
+++ b/lib/State/RaftNode.cpp
@@ -325,6 +325,7 @@
   ResetElectionTimer(aNow);
   m_hadLeaderContact = true;
   m_leaderContactAt = aNow;
+  m_previousLeader = aFrom.m_from;
 
   uint64_t previous = aBody.m_previousIndex;
   bool matchesPrevious =
@@ -380,6 +381,7 @@
   ResetElectionTimer(aNow);
   m_hadLeaderContact = true;
   m_leaderContactAt = aNow;
+  m_previousLeader = aFrom.m_from;
   const Snapshot& snapshot = aBody.m_snapshot;
   const LogEntry* last = EntryAt(snapshot.m_index);
   if (last != nullptr && last->m_term == snapshot.m_term) {
--- a/lib/State/StateService.cpp
+++ b/lib/State/StateService.cpp
@@ -190,6 +190,8 @@
   view.m_config = m_raft->Config();
   view.m_targetVoters = m_options.m_voters;
   view.m_replaceAfter = m_options.m_replaceVoterAfter;
+  view.m_lostAfterSilence =
+    m_options.m_replaceVoterAfter + m_options.m_raft.m_electionTimeout;
   for (const StatePeer& peer : m_peers) {
     view.m_hosts.push_back({ peer.m_host,
                              peer.m_dataCentre,
@@ -197,6 +199,7 @@
                              peer.m_disk,
                              peer.m_group,
                              peer.m_isAlive,
+                             peer.m_isSuspected,
                              aNow - peer.m_downSince.value_or(aNow) });
   }
   for (const GroupMember& member : view.m_config.m_members) {
--- a/lib/State/VoterRepair.cpp
+++ b/lib/State/VoterRepair.cpp
@@ -47,15 +47,18 @@
   }
 
   /// Returns whether a member is to be replaced: it has been down for
-  /// `m_replaceAfter`, or its disk is unknown and its host is alive with
-  /// another data folder or has been down for that long. A member whose host
-  /// the table lacks as well counts as lost after being silent for that long:
-  /// the table is not durable, and rows of hosts that are gone expire.
+  /// `m_replaceAfter`, or its host is alive with another data folder. A member
+  /// whose host is suspected, or that the table lacks, counts as lost once it
+  /// has been silent for long enough: the table is not durable, and rows of
+  /// hosts that are gone expire.
   bool IsLost(const GroupMember& aMember) const
   {
     const DiskHost* host = FindDisk(aMember.m_disk);
     if (host != nullptr) {
-      return !host->m_isAlive && host->m_downFor >= m_view.m_replaceAfter;
+      bool isUp = host->m_isAlive && !host->m_isSuspected;
+      bool isDown =
+        !host->m_isAlive && host->m_downFor >= m_view.m_replaceAfter;
+      return isDown || (!isUp && IsSilent(aMember));
     }
     bool isHostWithoutIt = std::any_of(
       m_view.m_hosts.begin(), m_view.m_hosts.end(), [&](const DiskHost& aHost) {
@@ -69,15 +72,18 @@
   bool IsSilent(const GroupMember& aMember) const
   {
     auto at = m_view.m_silence.find(aMember.m_disk);
-    return at != m_view.m_silence.end() && at->second >= m_view.m_replaceAfter;
+    return at != m_view.m_silence.end() &&
+           at->second >= m_view.m_lostAfterSilence;
   }
 
-  bool AreAllVotersLive() const
+  bool AreAllVotersUp() const
   {
     auto voters = Members(true);
-    return std::all_of(voters.begin(),
-                       voters.end(),
-                       [&](const GroupMember& aItem) { return IsLive(aItem); });
+    return std::all_of(
+      voters.begin(), voters.end(), [&](const GroupMember& aItem) {
+        const DiskHost* host = FindDisk(aItem.m_disk);
+        return host != nullptr && host->m_isAlive && !host->m_isSuspected;
+      });
   }
 
   std::vector<GroupMember> Members(bool aVotes) const
@@ -130,7 +136,7 @@
   std::optional<RepairStep> RemoveLearner() const
   {
     for (const GroupMember& learner : Members(false)) {
-      if (IsLost(learner) || (!NeedsVoter() && AreAllVotersLive())) {
+      if (IsLost(learner) || (!NeedsVoter() && AreAllVotersUp())) {
         return RemoveMember(learner, "remove learner ");
       }
     }
@@ -148,7 +154,7 @@
         return RemoveMember(voter, "remove lost voter ");
       }
     }
-    if (!AreAllVotersLive()) {
+    if (!AreAllVotersUp()) {
       return std::nullopt;
     }
     for (auto voter = voters.rbegin(); voter != voters.rend(); ++voter) {
--- a/unittests/State/RepairTest.cpp
+++ b/unittests/State/RepairTest.cpp
@@ -189,3 +189,43 @@
           CommandStatus::Accepted);
   }
 }
+
+// Guards against times until a host is declared dead, and then until it is
+// replaced, that add up to more than a successor has.
+TEST_CASE("a successor that starts at once is a voter within four seconds, and "
+          "the loss of one more disk is survived")
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    for (size_t offset : { 0, 1 }) {
+      CAPTURE(seed);
+      CAPTURE(offset);
+      SimulationOptions options = FaultFreeOptions();
+      options.m_seed = seed;
+      options.m_replaceAfter = seconds(1);
+      options.m_suspectAfter = milliseconds(1800);
+      options.m_deadAfter = milliseconds(3800);
+      StateSimulation simulation(options);
+      const size_t successor = 3;
+      simulation.RunFor(seconds(2));
+      simulation.Crash(successor);
+      simulation.EmptyDisk(successor);
+      simulation.RunFor(seconds(8));
+      REQUIRE(simulation.ProposeAndWait(4, Change("a", 0)).m_status ==
+              CommandStatus::Accepted);
+      size_t lost = (*simulation.Leader() + offset) % 3;
+      Instant lossAt = simulation.Now();
+      simulation.Crash(lost);
+      simulation.Restart(successor);
+      REQUIRE(simulation.ProposeAndWait(4, Change("b", 1)).m_status ==
+              CommandStatus::Accepted);
+      simulation.RunFor(lossAt + seconds(4) - simulation.Now());
+      size_t second = (lost + 1) % 3;
+      simulation.Crash(second);
+      simulation.EmptyDisk(second);
+      simulation.RunFor(seconds(6));
+      REQUIRE(simulation.Leader());
+      CHECK(simulation.ProposeAndWait(4, Change("c", 2)).m_status ==
+            CommandStatus::Accepted);
+    }
+  }
+}
--- a/unittests/State/StateSimulation.cpp
+++ b/unittests/State/StateSimulation.cpp
@@ -144,8 +144,11 @@
     }
     if (peer.m_isAlive) {
       peer.m_listsIndex = host.m_service->Plans().m_index;
+    } else if (m_now < host.m_downSince + m_options.m_deadAfter) {
+      peer.m_isAlive = true;
+      peer.m_isSuspected = m_now >= host.m_downSince + m_options.m_suspectAfter;
     } else {
-      peer.m_downSince = host.m_downSince;
+      peer.m_downSince = host.m_downSince + m_options.m_deadAfter;
     }
     peers.push_back(std::move(peer));
   }
--- a/unittests/State/StateSimulation.h
+++ b/unittests/State/StateSimulation.h
@@ -69,6 +69,9 @@
   PlantedFault m_fault = PlantedFault::None;
   size_t m_compactAfter = 40;
   Duration m_replaceAfter = seconds(5);
+  /// Time until other hosts suspect a host that is down, and declare it dead.
+  Duration m_suspectAfter{ 0 };
+  Duration m_deadAfter{ 0 };
 };
 
 /// Simulates several hosts that run `StateService` over a fake network in
--- a/unittests/State/VoterRepairTest.cpp
+++ b/unittests/State/VoterRepairTest.cpp
@@ -12,6 +12,7 @@
 {
   Absent,
   Up,
+  Suspected,
   Down,
   /// Up with another disk than the one in the group.
   Emptied,
@@ -33,6 +34,7 @@
   view.m_group = "group";
   view.m_leader = DiskId("disk-a");
   view.m_replaceAfter = seconds(1);
+  view.m_lostAfterSilence = seconds(1);
   for (const RepairHost& item : aHosts) {
     std::string name = item.m_name;
     DiskId disk("disk-" + name);
@@ -40,6 +42,7 @@
     host.m_host = HostId(name);
     host.m_disk = item.m_state == HostState::Emptied ? DiskId("new") : disk;
     host.m_isAlive = item.m_state != HostState::Down;
+    host.m_isSuspected = item.m_state == HostState::Suspected;
     host.m_downFor = host.m_isAlive ? Duration(0) : seconds(2);
     if (item.m_state != HostState::Absent) {
       view.m_hosts.push_back(host);
@@ -88,6 +91,21 @@
                 { "c", HostState::Up, 1, 1, seconds(9) },
                 spare },
               "" },
+         Row{ "suspected, silent",
+              { { "a" },
+                { "b" },
+                { "c", HostState::Suspected, 1, 1, seconds(1) },
+                spare },
+              "add learner d" },
+         Row{ "suspected, but answers",
+              { { "a" },
+                { "b" },
+                { "c", HostState::Suspected, 1, 1, milliseconds(999) },
+                spare },
+              "" },
+         Row{ "suspected, successor votes",
+              { { "a" }, { "b" }, { "c", HostState::Suspected }, { "d" } },
+              "" },
          Row{ "gone, with a learner",
               { { "a" }, { "b" }, { "c", kAbsent, 1, 1, seconds(1) }, learner },
               "promote learner d" },
