[Forwarding, Proxy] Probe the upstream at the end of an undelimited response

Cause: the kernel of a process that dies between two events ends its connections in the ordinary way, which is also how such a response ends. Change: at the end of a response that only the connection delimits the address of the upstream is probed. If it refuses, the response is broken off: a stream goes on at its backup or in a new run, or ends as incomplete; other responses fail after the send, on both front doors. The death is reported to the crash watch.

--- a/include/persimmontally/Net/ConnectProbe.h
+++ b/include/persimmontally/Net/ConnectProbe.h
@@ -12,6 +12,10 @@
 
 class EventLoop;
 
+/// Timeout of a probe whether a process has ended: several round trips between
+/// regions. The address of a process that has ended refuses at once.
+inline constexpr Duration kProcessProbeTimeout = milliseconds(400);
+
 /// Opens a TCP connection, closes it at once, and reports the result: `Ok`,
 /// `Unavailable` if no process listens at the address, or `DeadlineExceeded` if
 /// nothing answered within the timeout, and `Unknown` otherwise.
--- a/lib/Forwarding/CrashWatch.cpp
+++ b/lib/Forwarding/CrashWatch.cpp
@@ -10,9 +10,6 @@
 
 namespace persimmontally {
 
-/// Several round trips between regions. The address of a process that has died
-/// refuses at once.
-static constexpr Duration kProbeTimeout = milliseconds(400);
 /// Longest wait before this host vouches for parts: long enough for the others
 /// to learn of the first of them that does.
 static constexpr Duration kVouchWaitPerHost = milliseconds(5);
@@ -161,7 +158,7 @@
   }
   ProbeConnection(m_loop,
                   aEndpoint,
-                  kProbeTimeout,
+                  kProcessProbeTimeout,
                   [this, aUpstream, death, alive = std::weak_ptr(m_isAlive)](
                     const absl::Status& aStatus) {
                     if (!alive.expired()) {
--- a/lib/Forwarding/ForwardFlow.cpp
+++ b/lib/Forwarding/ForwardFlow.cpp
@@ -297,7 +297,21 @@
     OnAttemptFailed(std::string(aStatus.message()));
     return;
   }
-  OnResponseEnd();
+  if (!MayBeCutShort()) {
+    OnResponseEnd();
+    return;
+  }
+  ProbeEnd([self = shared_from_this()](bool aIsDead) {
+    if (self->m_state == State::Ended) {
+      return;
+    }
+    if (aIsDead) {
+      self->RecordFailure(false);
+      self->OnAttemptFailed("the response ends with its upstream");
+    } else {
+      self->OnResponseEnd();
+    }
+  });
 }
 
 // Responses that are forwarded as a whole, not as a stream.
--- a/lib/Forwarding/ForwardFlow.h
+++ b/lib/Forwarding/ForwardFlow.h
@@ -151,6 +151,13 @@
   void ClearBody();
   void OnCallEnd(const absl::Status& aStatus);
   void OnStreamEnd(const absl::Status& aStatus);
+  /// Whether a response that its upstream has ended may have been cut short by
+  /// the death of that upstream, since nothing delimits its body.
+  bool MayBeCutShort() const;
+  /// Calls `aOnProbed` with whether the upstream has died, and reports a death
+  /// to the crash watch unless it was announced.
+  void ProbeEnd(std::function<void(bool)> aOnProbed);
+  void OnStreamEndProbed(bool aIsDead, bool aWasHarmless);
   /// Passes on the end of a complete stream.
   void FinishStream();
   bool IsHarmless() const;
--- a/lib/Forwarding/ForwardStream.cpp
+++ b/lib/Forwarding/ForwardStream.cpp
@@ -4,9 +4,13 @@
 
 #include "CrashWatch.h"
 
+#include "persimmontally/Net/ConnectProbe.h"
 #include "persimmontally/Support/Log.h"
 #include "persimmontally/Support/Metrics.h"
 
+#include <algorithm>
+#include <array>
+
 namespace persimmontally {
 
 void ForwardFlow::ForwardEvents(std::string_view aData)
@@ -104,7 +108,15 @@
                         m_head.m_endsWithConnection &&
                         (isMigrating || (isLeaving && HasBackup()));
   if (aStatus.ok() && !isBrokenOff && !m_isPerhapsComplete) {
-    FinishStream();
+    if (!MayBeCutShort()) {
+      FinishStream();
+      return;
+    }
+    m_state = State::Migrating;
+    ProbeEnd(
+      [self = shared_from_this(), wasHarmless = IsHarmless()](bool aIsDead) {
+        self->OnStreamEndProbed(aIsDead, wasHarmless);
+      });
     return;
   }
   std::string reason(isBrokenOff    ? "the stream ends inside an event"
@@ -137,4 +149,50 @@
   RecoverStream(reason, wasHarmless, isProbed);
 }
 
+// Responses that end with their connection.
+
+bool ForwardFlow::MayBeCutShort() const
+{
+  constexpr std::array kBodiless = { 204, 304 };
+  bool hasBody =
+    m_request.m_http.m_method != "HEAD" &&
+    std::count(kBodiless.begin(), kBodiless.end(), m_head.m_status) == 0;
+  uint32_t most = m_request.m_maxOutputTokens;
+  bool hasAllTokens =
+    m_state == State::Streaming && most > 0 && TokensSoFar() >= most;
+  return m_head.m_endsWithConnection && m_head.m_isGenuine && hasBody &&
+         !hasAllTokens;
+}
+
+void ForwardFlow::ProbeEnd(std::function<void(bool)> aOnProbed)
+{
+  m_gateway.Counters().Add("response_ends_probed_total");
+  if (!IsEndAnnounced()) {
+    ReportBrokenOff(std::move(aOnProbed));
+    return;
+  }
+  ProbeConnection(
+    m_gateway.Loop(),
+    m_upstreamEndpoint,
+    kProcessProbeTimeout,
+    [onProbed = std::move(aOnProbed)](const absl::Status& aStatus) {
+      onProbed(absl::IsUnavailable(aStatus));
+    });
+}
+
+void ForwardFlow::OnStreamEndProbed(bool aIsDead, bool aWasHarmless)
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  if (!aIsDead) {
+    FinishStream();
+    return;
+  }
+  m_mayCrash = true;
+  RecordFailure(false);
+  m_events.Restart();
+  RecoverStream("the stream ends with its engine", aWasHarmless, false);
+}
+
 } // namespace persimmontally
--- a/lib/Proxy/ServiceFlow.cpp
+++ b/lib/Proxy/ServiceFlow.cpp
@@ -1,6 +1,7 @@
 #include "ServiceFlow.h"
 
 #include "persimmontally/Membership/Membership.h"
+#include "persimmontally/Net/ConnectProbe.h"
 #include "persimmontally/Routing/PoisonTable.h"
 #include "persimmontally/State/StateService.h"
 #include "persimmontally/Support/Crypto.h"
@@ -347,34 +348,14 @@
 {
   auto self = shared_from_this();
   m_httpCall.reset();
+  bool isDelimited = !aResponse.Header("Content-Length").empty() ||
+                     !aResponse.Header("Transfer-Encoding").empty();
+  if (aStatus.ok() && !isDelimited) {
+    OnUndelimitedResponse(std::move(aResponse));
+    return;
+  }
   if (aStatus.ok()) {
-    OrderAnswer answer;
-    answer.m_status = aResponse.m_status;
-    answer.m_contentType = std::string(aResponse.Header("Content-Type"));
-    answer.m_body = std::move(aResponse.m_body);
-    if (!m_hasClaim || answer.m_body.size() > kMaxRecordedBytes) {
-      if (m_hasClaim) {
-        EndClaim(OrderState::Unknown, {});
-      }
-      Respond(answer, false);
-      return;
-    }
-    EndOrder command;
-    command.m_key = m_call.m_orderKey;
-    command.m_attempt = m_id.Value();
-    command.m_state = OrderState::Finished;
-    command.m_answer = answer;
-    m_gateway.State().Propose(m_gateway.Loop().Now(),
-                              command,
-                              [self, answer](const CommandResult& aResult) {
-                                if (aResult.m_status ==
-                                    CommandStatus::Undecided) {
-                                  self->EndClaim(OrderState::Finished, answer);
-                                }
-                                if (!self->m_isClosed) {
-                                  self->Respond(answer, false);
-                                }
-                              });
+    OnResponse(std::move(aResponse));
     return;
   }
   m_gateway.Decisions().Write(m_callerId,
@@ -395,6 +376,63 @@
     });
 }
 
+void ServiceFlow::OnUndelimitedResponse(HttpResponse aResponse)
+{
+  const UpstreamEntry* entry = m_gateway.Members().Upstreams().Find(m_upstream);
+  if (entry == nullptr) {
+    OnResponse(std::move(aResponse));
+    return;
+  }
+  ProbeConnection(
+    m_gateway.Loop(),
+    entry->m_row.m_endpoint,
+    kProcessProbeTimeout,
+    [self = shared_from_this(),
+     response = std::move(aResponse)](const absl::Status& aStatus) {
+      if (self->m_isClosed) {
+        return;
+      }
+      if (absl::IsUnavailable(aStatus)) {
+        self->OnCallEnd(
+          absl::AbortedError("the response ends with its upstream"), {});
+      } else {
+        self->OnResponse(response);
+      }
+    });
+}
+
+void ServiceFlow::OnResponse(HttpResponse aResponse)
+{
+  auto self = shared_from_this();
+  OrderAnswer answer;
+  answer.m_status = aResponse.m_status;
+  answer.m_contentType = std::string(aResponse.Header("Content-Type"));
+  answer.m_body = std::move(aResponse.m_body);
+  if (!m_hasClaim || answer.m_body.size() > kMaxRecordedBytes) {
+    if (m_hasClaim) {
+      EndClaim(OrderState::Unknown, {});
+    }
+    Respond(answer, false);
+    return;
+  }
+  EndOrder command;
+  command.m_key = m_call.m_orderKey;
+  command.m_attempt = m_id.Value();
+  command.m_state = OrderState::Finished;
+  command.m_answer = answer;
+  m_gateway.State().Propose(m_gateway.Loop().Now(),
+                            command,
+                            [self, answer](const CommandResult& aResult) {
+                              if (aResult.m_status ==
+                                  CommandStatus::Undecided) {
+                                self->EndClaim(OrderState::Finished, answer);
+                              }
+                              if (!self->m_isClosed) {
+                                self->Respond(answer, false);
+                              }
+                            });
+}
+
 void ServiceFlow::OnResponseLost()
 {
   if (m_hasClaim) {
--- a/lib/Proxy/ServiceFlow.h
+++ b/lib/Proxy/ServiceFlow.h
@@ -55,6 +55,10 @@
   void Enqueue();
   void Send(const UpstreamEntry& aUpstream);
   void OnCallEnd(const absl::Status& aStatus, HttpResponse aResponse);
+  /// Handles a response that its upstream has ended and that nothing else
+  /// delimits: it is incomplete if the upstream has died.
+  void OnUndelimitedResponse(HttpResponse aResponse);
+  void OnResponse(HttpResponse aResponse);
   /// Handles a call that was sent and whose response is lost, once it is known
   /// whether its upstream has died.
   void OnResponseLost();
--- a/unittests/Forwarding/RawUpstream.h
+++ b/unittests/Forwarding/RawUpstream.h
@@ -101,6 +101,14 @@
       }
     }
   }
+  /// Whether the bytes of all responses so far have been sent.
+  bool HasSentAll() const
+  {
+    return std::all_of(
+      m_connections.begin(), m_connections.end(), [](const auto& aItem) {
+        return aItem.m_unsent.empty();
+      });
+  }
   /// Refuses new connections from now on; those that are open stay.
   void StopListening() { ::close(std::exchange(m_listener, -1)); }
   size_t Requests() const { return m_requests; }
--- a/unittests/Forwarding/UnframedResponseTest.cpp
+++ b/unittests/Forwarding/UnframedResponseTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Forwarding/ForwardSite.h"
 #include "Forwarding/RawUpstream.h"
+#include "persimmontally/Support/Metrics.h"
 
 #include <doctest/doctest.h>
 
@@ -213,3 +214,103 @@
     CHECK(resumes == 1);
   }
 }
+
+// Guards against responses that are cut short by the death of their upstream,
+// whose kernel ends the connection in the ordinary way.
+TEST_CASE("a response that ends with its connection is incomplete if its "
+          "upstream has died")
+{
+  struct Row
+  {
+    const char* m_name;
+    const char* m_path;
+    bool m_canBackUp;
+    /// Most output tokens of the request, at four an event.
+    const char* m_tokens;
+    bool m_dies;
+    /// Where the request goes on: at the backup, in a new run, or nowhere.
+    const char* m_goesOn;
+    bool m_isComplete;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "lives", "/stream/x", true, "100,400", false, "", true },
+         { "lives, plain", "/unsafe/x", false, "", false, "", true },
+         { "dies, backup", "/stream/x", true, "100,400", true, "backup", true },
+         { "dies", "/stream/x", false, "100,400", true, "", false },
+         { "dies, after all tokens",
+           "/stream/x",
+           false,
+           "100,8",
+           true,
+           "",
+           true },
+         { "dies, plain", "/unsafe/x", false, "", true, "", false },
+         { "dies, may be repeated",
+           "/safe/x",
+           false,
+           "",
+           true,
+           "new",
+           true } }) {
+    CAPTURE(std::string(row.m_name));
+    ForwardSite site(row.m_canBackUp);
+    bool isStream = std::string(row.m_path) == "/stream/x";
+    std::string service = isStream ? "engines" : "plain";
+    const std::string body = Event(1) + Event(2);
+    RawUpstream first(site.Loop(),
+                      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n"
+                      "Server-Stamp: s\r\n\r\n" +
+                        body,
+                      "",
+                      RawEnd::Hold);
+    site.AddUpstreamAt("first", service, first.Address());
+    std::string wentOn;
+    // Takes the request only if it goes on here.
+    site.AddUpstream(
+      "second",
+      service,
+      [&](const HttpRequest& aRequest, const ForwardSite::Writer& aWriter) {
+        if (first.Requests() == 0) {
+          HttpHeaders headers = Genuine(aRequest);
+          headers.push_back({ "Not-Run", "1" });
+          aWriter->SendResponse({ 503, headers, "" });
+          return;
+        }
+        wentOn = aRequest.Header("Kv-From").empty() ? "new" : "backup";
+        aWriter->StartStream(200, Genuine(aRequest));
+        aWriter->Write(wentOn == "new" ? body : Event(3));
+        aWriter->Finish();
+      });
+    std::shared_ptr<ForwardSite::Call> call;
+    do {
+      HttpHeaders headers = { { "X-Api-Key", "key" } };
+      if (isStream) {
+        headers.push_back({ "Token-Count", row.m_tokens });
+        headers.push_back({ "Length-Hint", "400" });
+      }
+      call = site.Start(row.m_path, std::move(headers));
+      site.RunUntil([&] {
+        return call->m_isDone || (first.Requests() > 0 && first.HasSentAll());
+      });
+    } while (call->m_isDone);
+    if (isStream) {
+      site.RunUntil([&] { return call->m_response.m_body == body; });
+    }
+    if (row.m_dies) {
+      first.StopListening();
+    }
+    first.CloseHeld();
+    site.RunUntil([&] { return call->m_isDone; });
+    bool isComplete = call->m_status.ok() && call->m_response.m_status == 200;
+    CHECK(isComplete == row.m_isComplete);
+    CHECK(wentOn == row.m_goesOn);
+    if (isComplete) {
+      CHECK(call->m_response.m_body ==
+            body + (wentOn == "backup" ? Event(3) : ""));
+    }
+    bool isSound = site.Counters().PrometheusText().find(
+                     "upstream_deaths_total") == std::string::npos;
+    bool isDeathSeen = row.m_dies && std::string(row.m_tokens) != "100,8";
+    CHECK(isSound != isDeathSeen);
+  }
+}
--- /dev/null
+++ b/unittests/Proxy/UndelimitedResponseTest.cpp
@@ -0,0 +1,46 @@
+/// Tests of service calls whose response ends with its connection.
+
+#include "Forwarding/RawUpstream.h"
+#include "Proxy/TestSite.h"
+
+#include <doctest/doctest.h>
+
+using namespace persimmontally;
+
+// Guards against responses that are cut short by the death of their upstream
+// and passed on as whole ones.
+TEST_CASE("the response of a service call that ends with its connection is "
+          "lost if its upstream has died")
+{
+  struct Row
+  {
+    const char* m_service;
+    bool m_dies;
+    int m_status;
+  };
+  // A call that may be repeated has no other upstream here.
+  for (const Row& row : { Row{ "orders", false, 200 },
+                          Row{ "orders", true, 409 },
+                          Row{ "labels", false, 200 },
+                          Row{ "labels", true, 502 } }) {
+    CAPTURE(std::string(row.m_service));
+    CAPTURE(row.m_dies);
+    TestSite site;
+    RawUpstream upstream(
+      site.Loop(), "HTTP/1.1 200 OK\r\n\r\nwhole", "", RawEnd::Hold);
+    site.Announce("u", upstream.Address(), row.m_service);
+    bool isOrder = std::string(row.m_service) == "orders";
+    HttpRequest request = OrderRequestOf(isOrder ? "key-1" : "", "one");
+    request.m_target = "/services/" + std::string(row.m_service) + "/new";
+    auto call = site.Start(std::move(request));
+    site.RunUntil(
+      [&] { return upstream.Requests() > 0 && upstream.HasSentAll(); });
+    if (row.m_dies) {
+      upstream.StopListening();
+    }
+    upstream.CloseHeld();
+    site.RunUntil([&] { return call->m_isDone; });
+    CHECK(call->m_response.m_status == row.m_status);
+    CHECK((call->m_response.m_body == "whole") == !row.m_dies);
+  }
+}
