--- a/unittests/Process/ProcessSite.cpp
+++ b/unittests/Process/ProcessSite.cpp
@@ -90,7 +90,19 @@
 
 // Processes and their settings.
 
-/// Fills in the template in `deploy/` as the platform does.
+static void FillIn(std::string& aText,
+                   const std::map<std::string, std::string>& aValues)
+{
+  for (const auto& [name, value] : aValues) {
+    for (size_t at = aText.find(name); at != std::string::npos;
+         at = aText.find(name, at + value.size())) {
+      aText.replace(at, name.size(), value);
+    }
+  }
+}
+
+/// Fills in the template in `deploy/` as the platform does, with the values
+/// that its first version had.
 std::string ProcessSite::WriteSettings(const DaemonProcess& aProcess) const
 {
   std::string seeds;
@@ -115,8 +127,6 @@
     { "{{data-dir}}", m_folder + "/" + aProcess.m_name + ".data" },
     { "{{bootstrap}}", "true" },
     { "{{tolerate.machines}}", "1" },
-    { "{{limits.memory-mb}}", std::to_string(m_options.m_memoryMb) },
-    { "{{limits.max-fds}}", std::to_string(m_options.m_descriptors) },
   };
   std::string text =
     !aProcess.m_settings.empty()
@@ -124,12 +134,7 @@
       : ReadFile(std::string(PERSIMMONTALLY_SOURCE_DIR) + "/deploy/" +
                  (aProcess.m_isControl ? "control" : "entry") + ".ini");
   REQUIRE(!text.empty());
-  for (const auto& [name, value] : values) {
-    for (size_t at = text.find(name); at != std::string::npos;
-         at = text.find(name, at + value.size())) {
-      text.replace(at, name.size(), value);
-    }
-  }
+  FillIn(text, values);
   CHECK(text.find("{{") == std::string::npos);
   std::string path = m_folder + "/" + aProcess.m_name + ".ini";
   // A test may have made the file a pipe that it writes to itself.
@@ -143,21 +148,26 @@
 std::vector<std::string> ProcessSite::RunWords(const std::string& aSettings,
                                                bool aIsControl) const
 {
+  if (!m_options.m_hasRunLine) {
+    return { "--config", aSettings };
+  }
   std::string deploy =
     ReadFile(std::string(PERSIMMONTALLY_SOURCE_DIR) + "/deploy/system.toml");
   size_t role = deploy.find(aIsControl ? "[roles.control]" : "[roles.entry]");
   constexpr std::string_view kRun = "run = \"";
   size_t begin = deploy.find(kRun, role) + kRun.size();
   std::istringstream run(deploy.substr(begin, deploy.find('"', begin) - begin));
+  const std::map<std::string, std::string> values = {
+    { "{{bounds.grace-s}}", std::to_string(m_options.m_graceSeconds) },
+    { "{{limits.memory-mb}}", std::to_string(m_options.m_memoryMb) },
+    { "{{limits.max-fds}}", std::to_string(m_options.m_descriptors) },
+  };
   std::vector<std::string> words;
   std::string word;
   run >> word;
   while (run >> word) {
-    constexpr std::string_view kGrace = "{{bounds.grace-s}}";
-    size_t at = word.find(kGrace);
-    if (at != std::string::npos) {
-      word.replace(at, kGrace.size(), std::to_string(m_options.m_graceSeconds));
-    }
+    FillIn(word, values);
+    CHECK(word.find("{{") == std::string::npos);
     words.push_back(word.ends_with("/local.yaml") ? aSettings : word);
   }
   return words;
--- a/unittests/Process/ProcessSite.h
+++ b/unittests/Process/ProcessSite.h
@@ -50,6 +50,9 @@
   int m_memoryMb = 110;
   int m_descriptors = 4100;
   int m_maxBodyBytes = 4194304;
+  /// Whether processes are run by the line in `deploy/`, which has the values
+  /// that a platform may lack, or with a settings file alone.
+  bool m_hasRunLine = true;
 };
 
 /// What a caller saw of one request, and what became of it at the upstreams.
