--- a/unittests/Proxy/ResponsesTest.cpp
+++ b/unittests/Proxy/ResponsesTest.cpp
@@ -217,10 +217,11 @@
         aWriter->SendResponse({ 200, {}, "{}" });
       });
     });
-  FakeUpstream good(site.Loop(), [&](const HttpRequest&, const Writer& writer) {
-    wasRunningBeside = wasRunningBeside || isRunning;
-    SendCompleteStream(writer, TokenEvent(0, "a") + EndEvents(1));
-  });
+  FakeUpstream good(
+    site.Loop(), [&](const HttpRequest&, const Writer& aWriter) {
+      wasRunningBeside = wasRunningBeside || isRunning;
+      SendCompleteStream(aWriter, TokenEvent(0, "a") + EndEvents(1));
+    });
   site.Announce("a-bad", bad.Listen(site.AddressPrefix() + ".9"));
   site.Announce("b-good", good.Listen(site.AddressPrefix() + ".10"));
   for (int i = 0; i < 4; ++i) {
