[Tests] Serve many mutated responses from one port

Cause: each response opened a port, and after some 27,000 of them no port was left, since closed connections occupy theirs for a minute. Change: a port serves 100 responses.

--- a/unittests/Net/ResponseFuzzTest.cpp
+++ b/unittests/Net/ResponseFuzzTest.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <memory>
 #include <random>
 #include <regex>
 
@@ -163,29 +164,48 @@
   }
 }
 
-Response Receive(const std::string& aBytes)
+/// Server that answers with given bytes and closes the connection.
+class Server
 {
-  EventLoop loop;
-  RawUpstream upstream(loop, aBytes, "", RawEnd::Close);
-  Response response;
-  HttpCallEvents events;
-  events.m_onHead = [&](int aStatus, const HttpHeaders&) {
-    response.m_status = aStatus;
-  };
-  events.m_onData = [&](std::string_view aData) { response.m_body += aData; };
-  events.m_onEnd = [&](const absl::Status& aStatus) {
-    response.m_isComplete = aStatus.ok();
-    loop.Stop();
-  };
-  StartHttpCall(loop,
-                upstream.Address(),
-                { "POST", "/", {}, "" },
-                HttpCallTimeouts(),
-                std::move(events));
-  Timer limit = loop.RunAfter(seconds(10), [&] { loop.Stop(); });
-  loop.Run();
-  return response;
-}
+public:
+  Response Receive(const std::string& aBytes)
+  {
+    // One port serves many responses, since a closed connection occupies its
+    // port for a minute.
+    constexpr size_t kResponsesPerPort = 100;
+    if (m_responses++ % kResponsesPerPort == 0) {
+      m_upstream = std::make_unique<RawUpstream>(m_loop, "", "", RawEnd::Close);
+      m_upstream->m_onRequest = [this](std::string_view) {
+        return std::optional(m_bytes);
+      };
+    }
+    m_bytes = aBytes;
+    Response response;
+    HttpCallEvents events;
+    events.m_onHead = [&](int aStatus, const HttpHeaders&) {
+      response.m_status = aStatus;
+    };
+    events.m_onData = [&](std::string_view aData) { response.m_body += aData; };
+    events.m_onEnd = [&](const absl::Status& aStatus) {
+      response.m_isComplete = aStatus.ok();
+      m_loop.Stop();
+    };
+    StartHttpCall(m_loop,
+                  m_upstream->Address(),
+                  { "POST", "/", {}, "" },
+                  HttpCallTimeouts(),
+                  std::move(events));
+    Timer limit = m_loop.RunAfter(seconds(10), [&] { m_loop.Stop(); });
+    m_loop.Run();
+    return response;
+  }
+
+private:
+  EventLoop m_loop;
+  std::string m_bytes;
+  size_t m_responses = 0;
+  std::unique_ptr<RawUpstream> m_upstream;
+};
 
 } // namespace
 
@@ -195,15 +215,16 @@
 {
   const char* seeds = std::getenv("PERSIMMONTALLY_SEEDS");
   uint64_t count = seeds == nullptr ? 1000 : std::strtoull(seeds, nullptr, 10);
+  Server server;
   for (const std::string& bytes : Corpus()) {
     CAPTURE(bytes);
-    CHECK(Receive(bytes).m_isComplete);
+    CHECK(server.Receive(bytes).m_isComplete);
   }
   size_t passedOn = 0;
   for (uint64_t seed = 1; seed <= count; ++seed) {
     std::mt19937_64 random(seed);
     std::string bytes = Mutate(random);
-    Response received = Receive(bytes);
+    Response received = server.Receive(bytes);
     Response stated = Read(bytes);
     passedOn += received.m_status != 0 ? 1 : 0;
     bool isHeadStated =
