[Tests] Let a call end before the site of its loop

Cause: GarbledEngines declared the call before the site, so that the site's loop was gone when the call was destroyed. Change: the call is declared after the site.

--- a/unittests/Forwarding/UnreadableStreamTest.cpp
+++ b/unittests/Forwarding/UnreadableStreamTest.cpp
@@ -93,7 +93,8 @@
     return ToString(m_engines[index]->Address());
   }
 
-  std::shared_ptr<ForwardSite::Call> m_call;
+  const ForwardSite::Call& Call() const { return *m_call; }
+
   size_t m_stopCalls = 0;
   /// Where the request went on, as in the script; empty if it did not.
   std::string m_wentOnAt;
@@ -159,6 +160,8 @@
 
   EngineScript m_script;
   ForwardSite m_site;
+  /// Ends before the loop of the site.
+  std::shared_ptr<ForwardSite::Call> m_call;
   std::array<std::unique_ptr<RawUpstream>, 2> m_engines;
   std::optional<size_t> m_first;
   bool m_isRunning = false;
@@ -245,7 +248,7 @@
     } else {
       CHECK(engines.m_stopCalls == script.m_stopCalls);
     }
-    const ForwardSite::Call& call = *engines.m_call;
+    const ForwardSite::Call& call = engines.Call();
     bool isComplete = call.m_status.ok() && call.m_response.m_status == 200;
     CHECK(isComplete == !script.m_goesOnAt.empty());
     bool hasStarted = script.m_garbage != beforeHead;
