--- a/unittests/Forwarding/BadHeadTest.cpp
+++ b/unittests/Forwarding/BadHeadTest.cpp
@@ -72,14 +72,7 @@
                            upstreams[i]->Address());
       }
       auto call = site.Start(path.m_path, { { "X-Api-Key", "key" } });
-      site.RunUntil([&] {
-        if (head.m_status == "199 x" && requests == 1) {
-          // The final response does not come.
-          upstreams[0]->CloseAll();
-          upstreams[1]->CloseAll();
-        }
-        return call->m_isDone;
-      });
+      site.RunUntil([&] { return call->m_isDone; });
       CHECK(call->m_response.m_status == path.m_status);
       CHECK(requests == path.m_requests);
       CHECK((call->m_response.m_body == "whole") == (path.m_status == 200));
