--- a/lib/Forwarding/ForwardStop.cpp
+++ b/lib/Forwarding/ForwardStop.cpp
@@ -1,6 +1,7 @@
 // Runs whose connection this host has closed, as after bytes that are no
-// response. Not all upstreams stop a run when its connection closes, so that
-// the request goes on elsewhere only once the upstream has confirmed its end.
+// response. Not all upstreams stop a run when its connection closes. Such a
+// request resumes elsewhere only after its upstream has answered that the run
+// is stopped or absent.
 
 #include "ForwardFlow.h"
 
