[Review] A stream looks complete when its server is gone in the middle of a move

An answer with neither a length nor chunks ends with its connection. If its server is gone while the run is copied to another one, the call for the copy gets no answer, and the stream is passed on as complete.

--- a/review/standins-3/Server.cpp
+++ b/review/standins-3/Server.cpp
@@ -2,6 +2,8 @@
 // and keeps backups of runs for others, or a plain service.
 #include "Kit.h"
 
+#include <set>
+
 using namespace kit;
 
 struct Options
@@ -34,6 +36,20 @@
 static std::atomic<int> s_runs{ 0 };
 /// Whether the server is cut off from the cores; SIGUSR1 changes it.
 static volatile sig_atomic_t s_isCutOff = 0;
+/// Whether the server has been told that it will be gone; SIGUSR2 tells it.
+static volatile sig_atomic_t s_isLeaving = 0;
+
+/// A run whose memory can be copied to another server.
+struct Run
+{
+  int m_made = 0;
+  /// Whether the last part of a copy has stopped it.
+  bool m_isStopped = false;
+  int m_copies = 0;
+};
+static std::map<std::string, std::shared_ptr<Run>> s_runsById;
+/// Handles of copies that lie here, and of runs that were stopped here.
+static std::set<std::string> s_handles;
 
 static std::string EventText(const std::string& aId, int aNumber)
 {
@@ -79,7 +95,8 @@
   std::string from = aRequest.Header("Kv-From");
   if (!from.empty()) {
     std::lock_guard lock(s_lock);
-    if (s_backups.erase(id) == 0) {
+    std::string handle = from.substr(from.find('/') + 1);
+    if (s_backups.erase(id) == 0 && s_handles.erase(handle) == 0) {
       s_record->Line("server " + s_options.m_id + ": no memory of " + id);
       SendAll(aSocket,
               PlainHead(503, id, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
@@ -106,9 +123,23 @@
   std::string backup = aRequest.Header("Kv-Backup");
   double backedUpAt = 0;
   int number = first;
+  auto run = std::make_shared<Run>();
+  {
+    std::lock_guard lock(s_lock);
+    s_runsById[id] = run;
+  }
   Sleep(0.1);
   for (; number <= events && Now() < until; ++number) {
     Sleep(s_options.m_gap);
+    {
+      std::lock_guard lock(s_lock);
+      if (run->m_isStopped) {
+        s_record->Line("server " + s_options.m_id + ": run " + id +
+                       " is stopped after event " + std::to_string(number - 1));
+        return;
+      }
+      run->m_made = number;
+    }
     std::string event = EventText(id, number);
     isHeard = isHeard &&
               SendAll(aSocket, s_options.m_isUnframed ? event : Chunk(event));
@@ -140,6 +171,10 @@
       std::thread(SendBackup, backup, id, number).detach();
     }
   }
+  {
+    std::lock_guard lock(s_lock);
+    s_runsById.erase(id);
+  }
   s_record->Line("server " + s_options.m_id + ": run " + id +
                  " ends after event " + std::to_string(number - 1));
   if (!s_options.m_isUnframed) {
@@ -147,6 +182,68 @@
   }
 }
 
+/// Returns the text of a field of a JSON object.
+static std::string JsonText(const std::string& aBody, const std::string& aName)
+{
+  size_t at = aBody.find("\"" + aName + "\"");
+  at = at == std::string::npos ? at : aBody.find('"', aBody.find(':', at));
+  return at == std::string::npos
+           ? ""
+           : aBody.substr(at + 1, aBody.find('"', at + 1) - at - 1);
+}
+
+/// Copies the memory of a run to another server: all of it at the first call,
+/// what is new at the others.
+static void MoveRun(int aSocket, const std::string& aBody)
+{
+  constexpr double kWhole = 0.36;
+  constexpr double kRest = 0.03;
+  std::string id = JsonText(aBody, "id");
+  std::string target = JsonText(aBody, "target");
+  bool isLast = aBody.find("\"last\":true") != std::string::npos;
+  std::string handle = s_options.m_id + "." + id;
+  std::shared_ptr<Run> run;
+  bool isFirst = false;
+  {
+    std::lock_guard lock(s_lock);
+    auto at = s_runsById.find(id);
+    if (at != s_runsById.end()) {
+      run = at->second;
+      isFirst = run->m_copies++ == 0;
+      run->m_isStopped = run->m_isStopped || isLast;
+    }
+  }
+  auto answer = [&](int aStatus, const std::string& aText) {
+    SendAll(aSocket,
+            "HTTP/1.1 " + std::to_string(aStatus) +
+              " X\r\nContent-Type: application/json\r\nContent-Length: " +
+              std::to_string(aText.size()) + "\r\n\r\n" + aText);
+  };
+  if (!run) {
+    answer(404, "{}");
+    return;
+  }
+  {
+    // Copies queue on the link.
+    static std::mutex link;
+    std::lock_guard lock(link);
+    Sleep(isFirst ? kWhole : kRest);
+  }
+  size_t colon = target.find(':');
+  Response copied = Call(target.substr(0, colon),
+                         std::atoi(target.c_str() + colon + 1),
+                         JsonCall("PUT", "/standin/copy/" + handle, ""),
+                         0.5);
+  bool isCopied = copied.m_head.Status() == 200;
+  if (isLast) {
+    std::lock_guard lock(s_lock);
+    s_handles.insert(handle);
+  }
+  answer(isCopied ? 200 : 503,
+         "{\"handle\":\"" + handle +
+           "\",\"made\":" + std::to_string(run->m_made) + "}");
+}
+
 static void Answer(int aSocket, const Message& aRequest)
 {
   std::string id = aRequest.Header("Request-Id");
@@ -176,6 +273,20 @@
   s_record->Line("server " + s_options.m_id + ": run " + id + " ends");
 }
 
+/// The kernel closes the sockets of a killed process from the highest
+/// descriptor to the lowest: the listener first here, then streams, then other
+/// calls.
+constexpr int kListenerDescriptor = 900;
+constexpr int kStreamDescriptors = 100;
+
+static void Renumber(int& aSocket, int aLeast)
+{
+  int renumbered = ::fcntl(aSocket, F_DUPFD_CLOEXEC, aLeast);
+  if (renumbered >= 0) {
+    ::close(std::exchange(aSocket, renumbered));
+  }
+}
+
 static void Serve(int aSocket)
 {
   std::string buffer;
@@ -195,6 +306,22 @@
       SendAll(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
       continue;
     }
+    if (path.rfind("/standin/copy/", 0) == 0) {
+      std::lock_guard lock(s_lock);
+      s_handles.insert(path.substr(14));
+      SendAll(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      continue;
+    }
+    if (path == "/persimmontally/kv-move") {
+      MoveRun(aSocket, request.m_body);
+      continue;
+    }
+    if (path.rfind("/persimmontally/kv-handle/", 0) == 0) {
+      std::lock_guard lock(s_lock);
+      s_handles.erase(path.substr(26));
+      SendAll(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      continue;
+    }
     if (path.rfind("/persimmontally/", 0) == 0) {
       SendAll(aSocket, "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
       continue;
@@ -205,6 +332,9 @@
       continue;
     }
     bool isStream = !request.Header("Token-Count").empty();
+    if (isStream) {
+      Renumber(aSocket, kStreamDescriptors);
+    }
     isStream ? Stream(aSocket, request) : Answer(aSocket, request);
     if (s_options.m_isUnframed || request.Header("Connection") == "close") {
       break;
@@ -220,8 +350,9 @@
   return "{\"service\":\"" + s_options.m_service + "\",\"addr\":\"" +
          s_options.m_ip + ":" + std::to_string(kServerPort) + "\",\"zone\":\"" +
          s_options.m_zone + "\",\"version\":\"v1\",\"slots\":" +
-         std::to_string(s_options.m_slots) +
-         ",\"state\":\"ready\",\"cold-left-ms\":0,\"stage\":\"mixed\","
+         std::to_string(s_options.m_slots) + ",\"state\":\"" +
+         (s_isLeaving ? "draining" : "ready") +
+         "\",\"cold-left-ms\":0,\"stage\":\"mixed\","
          "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
          "\"born\":" +
          std::to_string(born) + ",\"seq\":" + std::to_string(aSequence) + "}";
@@ -230,6 +361,7 @@
 int main(int argc, char** argv)
 {
   ::signal(SIGPIPE, SIG_IGN);
+  ::signal(SIGUSR2, [](int) { s_isLeaving = 1; });
   ::signal(SIGUSR1, [](int) { s_isCutOff = !s_isCutOff; });
   std::map<std::string, std::string> flags;
   for (int i = 1; i + 1 < argc; i += 2) {
@@ -258,16 +390,24 @@
   ::clock_gettime(CLOCK_REALTIME, &time);
   s_bornAt =
     static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec);
-  int listener = Listen(s_options.m_ip, kInnerPort);
+  int port =
+    flags.count("--port") > 0 ? std::atoi(flags["--port"].c_str()) : kInnerPort;
+  int listener = Listen(s_options.m_ip, port);
   if (listener < 0) {
     return 2;
   }
+  Renumber(listener, kListenerDescriptor);
   std::thread([] {
     for (int sequence = 1;; ++sequence) {
       if (!s_isCutOff) {
         Beat(s_options.m_cores, s_options.m_id, BeatBody(sequence));
       }
-      Sleep(1.2);
+      // A notice is passed on at once.
+      bool wasLeaving = s_isLeaving;
+      for (double until = Now() + 1.2;
+           Now() < until && wasLeaving == static_cast<bool>(s_isLeaving);) {
+        Sleep(0.02);
+      }
     }
   }).detach();
   for (;;) {
